--- /dev/null
+++ b/cmd/figwheel/offline.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"figwheel/operator"
+	"figwheel/operator/operatorpb"
+	"figwheel/result"
+	"figwheel/site"
+)
+
+func checkCommand(a *kingpin.Application) command {
+	c := a.Command("check", "Check a base file and overlays without a daemon: every problem with file, line and column.")
+	s := c.Flag("site", "Show the merged configuration of this site, with the file that each value comes from.").String()
+	j := c.Flag("json", "Print one JSON object.").Bool()
+	f := filesOf(c)
+	return command{c.FullCommand(), func(_ context.Context, o io.Writer) error {
+		b, err := f.bundle()
+		if err != nil {
+			return err
+		}
+		g, p := site.Check(b, time.Now())
+		if len(p) > 0 {
+			return showProblems(o, *j, p)
+		}
+		if *s != "" && !g.Has(*s) {
+			return result.New(result.UnknownSite, "the base lists no site %s; sites are %s", *s, strings.Join(g.Sites(), ", "))
+		}
+		if *j {
+			return writeJSON(o, struct {
+				Organisation string
+				Sites        []string
+				Lines        []site.Line
+			}{g.Organisation(), g.Sites(), g.Lines(*s)})
+		}
+		_, _ = fmt.Fprintf(o, "%s: %d sites (%s), no problems\n", g.Organisation(), len(g.Sites()), strings.Join(g.Sites(), ", "))
+		return showLines(o, "", g.Lines(*s))
+	}}
+}
+
+func showProblems(o io.Writer, asJSON bool, p []site.Problem) error {
+	if asJSON {
+		if err := writeJSON(o, struct{ Problems []site.Problem }{p}); err != nil {
+			return err
+		}
+		return exitError(exitRefused)
+	}
+	for _, v := range p {
+		_, _ = fmt.Fprintln(o, v)
+	}
+	_, _ = fmt.Fprintf(o, "%d problems\n", len(p))
+	return exitError(exitRefused)
+}
+
+func showLines(o io.Writer, mark string, l []site.Line) error {
+	w := tabwriter.NewWriter(o, 0, 0, 2, ' ', 0)
+	for _, v := range l {
+		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\n", mark, v.Key, v.Value, v.At)
+	}
+	return w.Flush()
+}
+
+func diffCommand(a *kingpin.Application) command {
+	c := a.Command("diff", "Show what a submission would change, by site.")
+	d := daemonFlag(c)
+	j := c.Flag("json", "Print one JSON object.").Bool()
+	f := filesOf(c)
+	return command{c.FullCommand(), func(x context.Context, o io.Writer) error {
+		b, err := f.bundle()
+		if err != nil {
+			return err
+		}
+		g, p := site.Check(b, time.Now())
+		if len(p) > 0 {
+			return showProblems(o, *j, p)
+		}
+		r, err := operator.NewClient(*d).Source(x, &operatorpb.SourceRequest{})
+		if err != nil {
+			return result.Wrap(result.Unreachable, err, "daemon %s", *d)
+		}
+		old, err := inForce(r)
+		if err != nil {
+			return err
+		}
+		return showDiff(o, *j, r.GetNumber(), old.Diff(g))
+	}}
+}
+
+// inForce returns the configuration of the files in force, the zero value
+// when there are none.
+func inForce(r *operatorpb.SourceResponse) (site.Configuration, error) {
+	if r.GetNumber() == 0 {
+		return site.Configuration{}, nil
+	}
+	b := site.Bundle{Base: site.File{Name: r.GetBase().GetName(), Text: r.GetBase().GetText()}}
+	for _, f := range r.GetOverlays() {
+		b.Overlays = append(b.Overlays, site.File{Name: f.GetName(), Text: f.GetText()})
+	}
+	g, p := site.Check(b, time.Now())
+	if len(p) > 0 {
+		return g, result.New(p[0].Code, "the files in force: %s", p[0])
+	}
+	return g, nil
+}
+
+func showDiff(o io.Writer, asJSON bool, number uint64, l []site.Diff) error {
+	if asJSON {
+		return writeJSON(o, struct {
+			On    uint64
+			Sites []site.Diff
+		}{number, l})
+	}
+	if len(l) == 0 {
+		_, _ = fmt.Fprintf(o, "nothing changes on version %d\n", number)
+	}
+	for _, s := range l {
+		_, _ = fmt.Fprintf(o, "site %s, on version %d:\n", s.Site, number)
+		if err := showLines(o, "  - ", s.Removed); err != nil {
+			return err
+		}
+		if err := showLines(o, "  + ", s.Added); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,269 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"figwheel/caller"
+	"figwheel/change"
+	"figwheel/event"
+	"figwheel/instance"
+	"figwheel/link"
+	"figwheel/platform"
+	"figwheel/result"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+// Times of the control loop.
+const (
+	tickTime  = 250 * time.Millisecond
+	probeTime = time.Second
+	eagerTime = 5 * time.Millisecond
+)
+
+// control is the state that the control goroutine owns.
+type control struct {
+	d      *Daemon
+	x      context.Context // of the tasks that it starts
+	random *rand.Rand
+
+	table        *instance.Table
+	links        map[string]*link.Peer
+	announcement upstream.Announcement
+	announced    time.Time
+	draining     bool
+	gone         bool
+
+	head     change.Head    // the newest that is known
+	target   change.Release // the newest in force that is known
+	serving  *site.Snapshot
+	contents map[string]*content
+	fetching map[string]bool
+
+	platformUp bool // the head was read from the platform
+	reachable  bool // the platform answered last time
+	answered   map[string]bool
+	rosters    map[string]platform.Object
+	rosterAt   time.Time
+	watching   bool
+	finishing  map[string]bool
+
+	probed     time.Time
+	mismatches int
+	eager      bool
+	dirty      bool
+	changed    chan struct{}
+
+	running int
+	ended   chan struct{}
+}
+
+func newControl(x context.Context, d *Daemon) *control {
+	n := d.now()
+	s := d.settings
+	return &control{
+		d:      d,
+		x:      x,
+		random: d.random(),
+		table: instance.New(instance.Record{
+			Name:        s.Instance,
+			Incarnation: uint64(n.UnixMilli()),
+			Site:        s.Site,
+			PeerAddress: s.PeerAddress,
+			LinkAddress: s.LinkAddress,
+			State:       instance.Starting,
+		}, n),
+		links:     make(map[string]*link.Peer),
+		contents:  make(map[string]*content),
+		fetching:  make(map[string]bool),
+		answered:  make(map[string]bool),
+		rosters:   make(map[string]platform.Object),
+		finishing: make(map[string]bool),
+		reachable: true,
+		changed:   make(chan struct{}),
+		ended:     make(chan struct{}),
+	}
+}
+
+// loop runs until x ends, and then until every task that it started has
+// reported its end.
+func (c *control) loop(x context.Context, done chan<- struct{}) {
+	defer close(done)
+	k := time.NewTicker(tickTime)
+	defer k.Stop()
+	e := time.NewTimer(0)
+	defer e.Stop()
+	c.start(c.d.boot)
+	for x.Err() == nil {
+		select {
+		case <-x.Done():
+		case f := <-c.d.requests:
+			f(c)
+		case <-k.C:
+			c.tick(c.d.now())
+		case <-e.C:
+			c.spreadNews()
+		case <-c.ended:
+			c.running--
+		}
+		if c.eager {
+			c.eager = false
+			e.Reset(eagerTime)
+		}
+		c.publish()
+	}
+	close(c.d.stopped)
+	for c.running > 0 {
+		<-c.ended
+		c.running--
+	}
+}
+
+// start runs f as a task that reports its end to the loop.
+func (c *control) start(f func(x context.Context)) {
+	c.running++
+	go func() {
+		f(c.x)
+		c.ended <- struct{}{}
+	}()
+}
+
+func (c *control) tick(now time.Time) {
+	c.lapse(now)
+	for _, r := range c.table.Expire(now) {
+		c.d.event(c.x, event.InstanceDead, slog.String("Name", r.Name), slog.String("Site", r.Site))
+		c.news()
+	}
+	if now.Sub(c.probed) >= probeTime {
+		c.probed = now
+		if r, ok := c.table.Probe(c.random); ok {
+			c.exchange(r.Name, r.PeerAddress, r.Incarnation)
+		}
+	}
+	c.advance()
+	c.tendWatch()
+	c.tendRoster(now)
+	c.tendProposal(now)
+}
+
+// news marks that the view is out of date and that others should hear why.
+func (c *control) news() {
+	c.eager = true
+	c.dirty = true
+}
+
+// lapse forgets a worker that stopped announcing itself.
+func (c *control) lapse(now time.Time) {
+	if c.announcement.Service == "" || now.Sub(c.announced) < upstream.LapseTime {
+		return
+	}
+	c.d.event(c.x, event.WorkerLost, slog.String("Service", c.announcement.Service))
+	c.announcement.State = instance.Left.String()
+	c.announced = now.Add(time.Hour * 24 * 365) // once is enough
+	c.describe(now)
+}
+
+// announce takes over what the worker says of itself.
+func (c *control) announce(a upstream.Announcement, now time.Time) {
+	if a != c.announcement {
+		c.d.event(c.x, event.WorkerAnnounced, slog.String("Service", a.Service), slog.String("State", a.State), slog.String("Address", a.Address))
+	}
+	c.announcement = a
+	c.announced = now
+	c.describe(now)
+}
+
+// describe brings the own record up to date: ready only with a worker that is
+// ready and a configuration that knows its service.
+func (c *control) describe(now time.Time) {
+	r := c.table.Self()
+	a := c.announcement
+	var s *site.Service
+	if c.serving != nil {
+		s, _ = c.serving.Service(a.Service)
+	}
+	c.d.worker.Set(a, s, now)
+	r.Service = a.Service
+	r.State = c.state(s)
+	r.Slots = uint32(max(0, a.Slots))
+	if s != nil && (a.Slots == 0 || s.Slots < a.Slots) {
+		r.Slots = uint32(s.Slots)
+	}
+	if c.table.SetSelf(r, now) {
+		c.news()
+	}
+}
+
+func (c *control) state(s *site.Service) instance.State {
+	switch {
+	case c.gone:
+		return instance.Left
+	case c.draining || c.announcement.State == instance.Draining.String():
+		return instance.Draining
+	case c.announcement.State != instance.Ready.String() || s == nil:
+		return instance.Starting
+	}
+	return instance.Ready
+}
+
+// left makes the last record of this instance.
+func (c *control) left() {
+	c.gone = true
+	c.describe(c.d.now())
+}
+
+// publish replaces the view if something it shows has changed.
+func (c *control) publish() {
+	if !c.dirty {
+		return
+	}
+	c.dirty = false
+	l := make(map[string][]link.Candidate)
+	s := c.table.Self()
+	for _, r := range c.table.All() {
+		if !r.Serves(r.Service) || r.Service == "" {
+			continue
+		}
+		l[r.Service] = append(l[r.Service], link.Candidate{
+			Name:     r.Name,
+			Address:  r.LinkAddress,
+			Slots:    int64(r.Slots),
+			Local:    r.Name == s.Name,
+			SameSite: r.Site == s.Site,
+			Peer:     c.link(r.Name),
+		})
+	}
+	m := make(map[string]link.Candidates, len(l))
+	for n, v := range l {
+		m[n] = link.NewCandidates(v)
+	}
+	c.d.view.Store(caller.NewView(c.serving, m))
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *control) link(name string) *link.Peer {
+	p, ok := c.links[name]
+	if !ok {
+		p = &link.Peer{}
+		c.links[name] = p
+	}
+	return p
+}
+
+// platformAnswered notes whether the platform answered and logs the change.
+func (c *control) platformAnswered(err error) {
+	up := err == nil || result.CodeOf(err) == result.VersionConflict || result.CodeOf(err) == result.NotFound
+	if up == c.reachable {
+		return
+	}
+	c.reachable = up
+	if up {
+		c.d.event(c.x, event.PlatformBack)
+		return
+	}
+	c.d.event(c.x, event.PlatformLost, slog.String("Cause", err.Error()))
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"figwheel/caller"
+	"figwheel/event"
+	"figwheel/metric"
+	"figwheel/peer"
+	"figwheel/platform"
+	"figwheel/result"
+	"figwheel/settings"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+// Options are what a daemon is made of.
+type Options struct {
+	Settings settings.Settings
+	Store    platform.Store
+	Log      *slog.Logger
+	Now      func() time.Time
+	Seed     uint64 // of all random choices
+
+	// Listen opens an address; nil is net.Listen for TCP.
+	Listen func(address string) (net.Listener, error)
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings  settings.Settings
+	store     *countedStore
+	log       *slog.Logger
+	now       func() time.Time
+	seed      uint64
+	listeners listeners
+
+	meter    peer.Meter
+	peers    *peer.Client
+	worker   upstream.Worker
+	view     atomic.Pointer[caller.View]
+	closing  atomic.Bool
+	requests chan func(*control)
+	stopped  chan struct{}
+	contents singleflight.Group
+	metrics  *metric.Set
+	draws    atomic.Uint64
+}
+
+// New opens the addresses of the settings and returns a daemon that Run
+// starts. An address of port 0 is replaced by the one it got.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{
+		settings: o.Settings,
+		store:    &countedStore{Store: o.Store},
+		log:      o.Log,
+		now:      o.Now,
+		seed:     o.Seed,
+		requests: make(chan func(*control)),
+		stopped:  make(chan struct{}),
+	}
+	if d.log == nil {
+		d.log = slog.New(slog.DiscardHandler)
+	}
+	d.log = d.log.With("Instance", o.Settings.Instance)
+	d.peers = peer.NewClient(&d.meter)
+	d.view.Store(caller.NewView(nil, nil))
+	m, err := metric.New(metric.Gauges{
+		Version:      func() int64 { return int64(d.View().Snapshot.Number()) },
+		ControlIn:    d.meter.In,
+		ControlOut:   d.meter.Out,
+		InFlight:     func() int64 { return int64(d.worker.InFlight()) },
+		PlatformCall: d.store.calls.Load,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.metrics = m
+	return d, d.listen(o.Listen)
+}
+
+// Settings returns the settings with the addresses that were opened.
+func (d *Daemon) Settings() settings.Settings { return d.settings }
+
+// View implements caller.Daemon.
+func (d *Daemon) View() *caller.View { return d.view.Load() }
+
+// Closing implements caller.Daemon.
+func (d *Daemon) Closing() bool { return d.closing.Load() }
+
+// ControlBytes returns the control bytes received and sent so far.
+func (d *Daemon) ControlBytes() (in, out int64) { return d.meter.In(), d.meter.Out() }
+
+// Seen implements caller.Daemon: another daemon serves the release, written
+// as number-content. If it is the one staged here, it was accepted, and this
+// daemon activates it before the call goes on.
+func (d *Daemon) Seen(release string) {
+	n, h, ok := strings.Cut(release, "-")
+	i, err := strconv.ParseUint(n, 10, 64)
+	if !ok || err != nil || i <= d.View().Snapshot.Number() {
+		return
+	}
+	_ = d.do(context.Background(), func(c *control) { c.seen(i, h) })
+}
+
+// do runs f on the control goroutine and waits for it.
+func (d *Daemon) do(x context.Context, f func(*control)) error {
+	done := make(chan struct{})
+	select {
+	case d.requests <- func(c *control) { f(c); close(done) }:
+		<-done // what control took, it runs
+		return nil
+	case <-d.stopped:
+		return result.New(result.Stopped, "the daemon is stopping")
+	case <-x.Done():
+		return x.Err()
+	}
+}
+
+// random returns a source of its own for each use, so that no two goroutines
+// share one.
+func (d *Daemon) random() *rand.Rand {
+	return rand.New(rand.NewPCG(d.seed, d.draws.Add(1)))
+}
+
+func (d *Daemon) event(x context.Context, i event.ID, a ...slog.Attr) {
+	event.Log(x, d.log, i, a...)
+}
+
+// content is a configuration by its hash. When it cannot be served at this
+// site, refusal says why.
+type content struct {
+	hash    string
+	data    []byte
+	config  site.Configuration
+	refusal *result.Error
+}
+
+// pause waits for t or the end of x and tells whether x goes on.
+func pause(x context.Context, t time.Duration) bool {
+	k := time.NewTimer(t)
+	defer k.Stop()
+	select {
+	case <-k.C:
+		return true
+	case <-x.Done():
+		return false
+	}
+}
+
+// backoff draws the next wait by decorrelated jitter: between low and three
+// times the last one, at most high.
+func backoff(r *rand.Rand, last, low, high time.Duration) time.Duration {
+	n := low + time.Duration(r.Float64()*float64(max(last, low)*3-low))
+	return min(n, high)
+}
+
+// countedStore counts the calls of the platform.
+type countedStore struct {
+	platform.Store
+	calls atomic.Int64
+}
+
+func (s *countedStore) Get(x context.Context, key string) (platform.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Get(x, key)
+}
+
+func (s *countedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Put(x, key, version, value)
+}
+
+func (s *countedStore) List(x context.Context, prefix string) (platform.Listing, error) {
+	s.calls.Add(1)
+	return s.Store.List(x, prefix)
+}
+
+func (s *countedStore) Watch(x context.Context, prefix, revision string, f func(platform.Event) error) error {
+	s.calls.Add(1)
+	return s.Store.Watch(x, prefix, revision, f)
+}
+
+// compressed returns the content as peers fetch it.
+func (k *content) compressed() ([]byte, error) { return platform.Compress(k.data, nil) }
--- /dev/null
+++ b/daemon/head.go
@@ -0,0 +1,262 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+
+	"figwheel/change"
+	"figwheel/event"
+	"figwheel/peer"
+	"figwheel/peer/peerpb"
+	"figwheel/platform"
+	"figwheel/result"
+	"figwheel/site"
+)
+
+// observe takes in a head. Heads have one order, so that late, repeated and
+// crossed ones change nothing; it tells whether h was news.
+func (c *control) observe(h change.Head) bool {
+	if h.Sequence <= c.head.Sequence {
+		return false
+	}
+	c.head = h
+	if h.InForce.Number > c.target.Number {
+		c.target = h.InForce
+	}
+	c.dirty = true
+	c.advance()
+	return true
+}
+
+// seen handles a release that another daemon serves. It is trusted only when
+// it is the one proposed here: daemons serve nothing that was not accepted.
+func (c *control) seen(number uint64, hash string) {
+	p := c.head.Proposed.Release
+	if p.Number != number || p.Content != hash {
+		c.spreadNews() // somebody knows more
+		return
+	}
+	if number > c.target.Number {
+		c.target = p
+		c.advance()
+		c.publish()
+	}
+}
+
+// advance goes as far as what is known allows: it activates the target if its
+// content is here and fetches what is missing.
+func (c *control) advance() {
+	if c.target.Number > c.serving.Number() {
+		c.want(c.target.Content)
+		c.activate()
+	}
+	if c.head.HasProposal() {
+		c.want(c.head.Proposed.Content)
+	}
+}
+
+func (c *control) activate() {
+	k, ok := c.contents[c.target.Content]
+	if !ok || k.refusal != nil {
+		return
+	}
+	if c.serving == nil && !change.MayServe(c.platformUp, c.head, len(c.answered), len(c.table.Live())-1) {
+		return
+	}
+	s, err := k.config.Snapshot(c.d.settings.Site, c.target.Number, c.target.Content)
+	if err != nil {
+		return
+	}
+	first := c.serving == nil
+	c.serving = s
+	c.dirty = true
+	c.prune()
+	c.describe(c.d.now())
+	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", c.target.ChangeID))
+	if first {
+		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
+	}
+}
+
+// prune keeps the contents in force and proposed.
+func (c *control) prune() {
+	for h := range c.contents {
+		if h != c.target.Content && h != c.head.Proposed.Content && h != c.head.InForce.Content {
+			delete(c.contents, h)
+		}
+	}
+}
+
+// want fetches a content in the background unless it is here or on its way.
+func (c *control) want(hash string) {
+	if c.contents[hash] != nil || c.fetching[hash] {
+		return
+	}
+	c.fetching[hash] = true
+	c.start(func(x context.Context) {
+		_, _ = c.d.content(x, hash, "", nil)
+		_ = c.d.do(x, func(c *control) { delete(c.fetching, hash) })
+	})
+}
+
+// content returns the content of that hash: from memory, by the delta of q,
+// from the daemon at the address from, from other peers, or from the platform.
+// Requests for one hash at a time share the work.
+func (d *Daemon) content(x context.Context, hash, from string, q *peerpb.DeliverRequest) (*content, error) {
+	var k *content
+	var near []string
+	err := d.do(x, func(c *control) {
+		k = c.contents[hash]
+		for _, r := range c.table.Some(c.random, 2, "") {
+			near = append(near, r.PeerAddress)
+		}
+	})
+	if err != nil || k != nil {
+		return k, err
+	}
+	if from != "" {
+		near = append([]string{from}, near...)
+	}
+	v, err, _ := d.contents.Do(hash, func() (any, error) { return d.fetch(x, hash, near, q) })
+	if err != nil {
+		return nil, err
+	}
+	return v.(*content), nil
+}
+
+func (d *Daemon) fetch(x context.Context, hash string, near []string, q *peerpb.DeliverRequest) (*content, error) {
+	b, ok := d.byDelta(x, hash, q)
+	for _, a := range near {
+		if ok {
+			break
+		}
+		b, ok = d.fromPeer(x, a, hash)
+	}
+	if !ok {
+		p, err := platform.GetContent(x, d.store, hash)
+		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
+		if err != nil {
+			return nil, err
+		}
+		b = p
+	}
+	k := d.compile(hash, b)
+	d.event(x, event.ContentFetched, slog.String("Content", hash), slog.Int("Bytes", len(b)))
+	return k, d.do(x, func(c *control) {
+		c.contents[hash] = k
+		c.advance()
+	})
+}
+
+func (d *Daemon) byDelta(x context.Context, hash string, q *peerpb.DeliverRequest) ([]byte, bool) {
+	if len(q.GetDelta()) == 0 || q.GetDeltaContent() != hash {
+		return nil, false
+	}
+	var base []byte
+	if h := q.GetDeltaBase(); h != "" {
+		_ = d.do(x, func(c *control) {
+			if k := c.contents[h]; k != nil {
+				base = k.data
+			}
+		})
+		if base == nil {
+			return nil, false
+		}
+	}
+	b, err := platform.Verified(q.GetDelta(), base, hash)
+	return b, err == nil
+}
+
+func (d *Daemon) fromPeer(x context.Context, address, hash string) ([]byte, bool) {
+	x, stop := context.WithTimeout(x, exchangeTime)
+	defer stop()
+	z, err := d.peers.Fetch(x, address, hash)
+	if err != nil || len(z) == 0 {
+		return nil, false
+	}
+	b, err := platform.Verified(z, nil, hash)
+	return b, err == nil
+}
+
+// compile checks a content for this site. Every instance does that itself: a
+// daemon of another build may refuse what the submitting one took.
+func (d *Daemon) compile(hash string, b []byte) *content {
+	k := &content{hash: hash, data: b}
+	f, err := site.DecodeBundle(b)
+	if err != nil {
+		k.refusal = result.Wrap(result.BadValue, err, "content %s", hash)
+		return k
+	}
+	g, p := site.Check(f, d.now())
+	if len(p) > 0 {
+		k.refusal = result.New(p[0].Code, "%s", p[0])
+		return k
+	}
+	if !g.Has(d.settings.Site) {
+		k.refusal = result.New(result.UnknownSite, "site %s has live instances and is not listed", d.settings.Site)
+		return k
+	}
+	k.config = g
+	return k
+}
+
+// take stages and activates what a head asks for and reports how far this
+// instance is.
+func (d *Daemon) take(x context.Context, h change.Head, q *peerpb.DeliverRequest) change.Report {
+	if h.HasProposal() {
+		_, _ = d.content(x, h.Proposed.Content, q.GetFrom(), q)
+	}
+	if h.InForce.Number > d.View().Snapshot.Number() {
+		_, _ = d.content(x, h.InForce.Content, q.GetFrom(), q)
+	}
+	var r change.Report
+	_ = d.do(x, func(c *control) {
+		c.observe(h)
+		c.publish()
+		r = c.report(h)
+	})
+	return r
+}
+
+// report tells how far this instance is with the head h.
+func (c *control) report(h change.Head) change.Report {
+	s := c.table.Self()
+	a := change.Ack{Site: s.Site}
+	var r change.Report
+	if h.InForce.Number > 0 && c.serving.Number() >= h.InForce.Number {
+		a.InForce = 1
+	}
+	if h.HasProposal() {
+		k := c.contents[h.Proposed.Content]
+		switch {
+		case k == nil:
+			r.Behind = []string{s.Name}
+		case k.refusal != nil:
+			r.Refusals = []change.Refusal{{Instance: s.Name, Site: s.Site, Code: k.refusal.Code, Text: k.refusal.Text}}
+		default:
+			a.Staged = 1
+		}
+	} else if h.InForce.Number > 0 && a.InForce == 0 {
+		r.Behind = []string{s.Name}
+	}
+	r.Acks = []change.Ack{a}
+	return r
+}
+
+// Deliver implements peerpb.PeerServiceHandler: it takes the head and hands it
+// to the tree below at the same time.
+func (d *Daemon) Deliver(x context.Context, q *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
+	below := make(chan change.Report, 1)
+	n := &peerpb.DeliverRequest{
+		Head:         q.GetHead(),
+		From:         d.settings.PeerAddress,
+		Delta:        q.GetDelta(),
+		DeltaBase:    q.GetDeltaBase(),
+		DeltaContent: q.GetDeltaContent(),
+		Targets:      q.GetTargets(),
+	}
+	go func() { below <- d.peers.Spread(x, n, d.now()) }()
+	r := d.take(x, peer.ToHead(q.GetHead()), q)
+	p := peer.FromReport(r.Add(<-below))
+	return p, nil
+}
--- /dev/null
+++ b/daemon/serve.go
@@ -0,0 +1,203 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"figwheel/caller"
+	"figwheel/event"
+	"figwheel/hop"
+	"figwheel/operator"
+	"figwheel/peer"
+	"figwheel/result"
+	"figwheel/upstream"
+)
+
+const (
+	headerTime     = 10 * time.Second
+	idleTime       = 2 * time.Minute
+	headerBytesMax = 64 << 10
+	linkDialTime   = time.Second
+	newsTime       = 300 * time.Millisecond // for others to hear that this instance leaves
+	drainPoll      = 10 * time.Millisecond
+	leftTime       = time.Second
+)
+
+// listeners are the addresses of a daemon, one for each kind of peer.
+type listeners struct {
+	call     net.Listener
+	link     net.Listener
+	peer     net.Listener
+	upstream net.Listener
+	operator net.Listener
+}
+
+func (d *Daemon) listen(open func(string) (net.Listener, error)) error {
+	if open == nil {
+		open = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
+	}
+	l := []struct {
+		address *string
+		to      *net.Listener
+	}{
+		{&d.settings.CallAddress, &d.listeners.call},
+		{&d.settings.LinkAddress, &d.listeners.link},
+		{&d.settings.PeerAddress, &d.listeners.peer},
+		{&d.settings.UpstreamAddress, &d.listeners.upstream},
+		{&d.settings.OperatorAddress, &d.listeners.operator},
+	}
+	for _, v := range l {
+		n, err := open(*v.address)
+		if err != nil {
+			d.closeListeners()
+			return result.Wrap(result.CannotListen, err, "address %s", *v.address)
+		}
+		*v.to = n
+		*v.address = n.Addr().String()
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	l := d.listeners
+	for _, n := range []net.Listener{l.call, l.link, l.peer, l.upstream, l.operator} {
+		if n != nil {
+			_ = n.Close()
+		}
+	}
+}
+
+// servers are the HTTP servers; work holds those that carry calls.
+type servers struct {
+	work    []*http.Server
+	control []*http.Server
+	group   errgroup.Group
+}
+
+func (s *servers) start(l net.Listener, h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	v := &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    headerBytesMax,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	s.group.Go(func() error {
+		if err := v.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return v
+}
+
+func (d *Daemon) serve() *servers {
+	t := hop.NewTransport(0, linkDialTime)
+	s := &servers{}
+	s.work = []*http.Server{
+		s.start(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: d.metrics, Now: d.now, Random: d.source()}),
+		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now}),
+	}
+	p := http.NewServeMux()
+	p.Handle(peer.NewHandler(d))
+	u := http.NewServeMux()
+	u.Handle(upstream.AnnouncePath, upstream.AnnounceHandler{Take: d.announced, Now: d.now})
+	o := http.NewServeMux()
+	o.Handle(operator.NewHandler(operators{d}))
+	o.Handle("/metrics", d.metrics.Handler())
+	s.control = []*http.Server{
+		s.start(d.meter.Listener(d.listeners.peer), p),
+		s.start(d.listeners.upstream, u),
+		s.start(d.listeners.operator, o),
+	}
+	return s
+}
+
+func (d *Daemon) announced(a upstream.Announcement, now time.Time) {
+	_ = d.do(context.Background(), func(c *control) { c.announce(a, now) })
+}
+
+// source returns a source of random numbers for each call that asks.
+func (d *Daemon) source() *sync.Pool {
+	return &sync.Pool{New: func() any { return d.random() }}
+}
+
+// Run serves until x ends, then leaves: it takes no new work, lets the
+// requests in flight finish and tells the others that it is gone.
+func (d *Daemon) Run(x context.Context) error {
+	y, stop := context.WithCancel(context.WithoutCancel(x))
+	defer stop()
+	done := make(chan struct{})
+	c := newControl(y, d)
+	go c.loop(y, done)
+	s := d.serve()
+	d.event(y, event.Started, slog.String("Site", d.settings.Site), slog.String("CallAddress", d.settings.CallAddress), slog.String("OperatorAddress", d.settings.OperatorAddress))
+	<-x.Done()
+	d.leave(y, s)
+	stop()
+	<-done
+	for _, v := range s.control {
+		_ = v.Close()
+	}
+	d.peers.Close()
+	err := errors.Join(s.group.Wait(), d.metrics.Close(context.WithoutCancel(x)))
+	d.event(context.WithoutCancel(x), event.Ended)
+	return err
+}
+
+// leave drains. The order matters: others hear of it first, then callers are
+// sent elsewhere, and only what nobody uses any more is closed.
+func (d *Daemon) leave(x context.Context, s *servers) {
+	x, stop := context.WithTimeout(x, time.Duration(d.settings.DrainLimit))
+	defer stop()
+	d.event(x, event.Draining, slog.Int("InFlight", d.worker.InFlight()))
+	_ = d.do(x, func(c *control) {
+		c.draining = true
+		c.describe(c.d.now())
+	})
+	d.closing.Store(true)
+	pause(x, newsTime)
+	for d.worker.InFlight() > 0 && pause(x, drainPoll) {
+		continue
+	}
+	var g errgroup.Group
+	for _, v := range s.work {
+		g.Go(func() error { return v.Shutdown(x) })
+	}
+	_ = g.Wait()
+	d.sayLeft(x)
+}
+
+// sayLeft tells some peers that this instance is gone, so that none of them
+// has to find out.
+func (d *Daemon) sayLeft(x context.Context) {
+	x, stop := context.WithTimeout(x, leftTime)
+	defer stop()
+	var n int
+	sent := make(chan struct{}, eagerPeers)
+	_ = d.do(x, func(c *control) {
+		c.left()
+		q := c.exchangeRequest()
+		for _, r := range c.table.Some(c.random, eagerPeers, "") {
+			n++
+			go func() {
+				_, _ = d.peers.Exchange(x, r.PeerAddress, q)
+				sent <- struct{}{}
+			}()
+		}
+	})
+	for range n {
+		<-sent
+	}
+}
--- /dev/null
+++ b/daemon/submit.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"figwheel/change"
+	"figwheel/event"
+	"figwheel/platform"
+	"figwheel/result"
+	"figwheel/site"
+)
+
+const (
+	proposeTime    = 10 * time.Second
+	proposeWaitMin = 5 * time.Millisecond
+	proposeWaitMax = 500 * time.Millisecond
+)
+
+// submission is what a supervisor wants in force.
+type submission struct {
+	id        string
+	submitter string
+	reason    string
+	on        uint64 // release that the files were edited from, 0 for any
+	bundle    site.Bundle
+	began     time.Time
+}
+
+// submit takes a submission all the way and shows each step.
+func (d *Daemon) submit(x context.Context, s submission, show func(progress)) {
+	if !change.ValidID(s.id) {
+		show(progress{step: stepRefused, err: result.New(result.BadChangeID, "change id %q", s.id)})
+		return
+	}
+	_ = d.do(x, func(c *control) { c.finishing[s.id] = true })
+	defer func() { _ = d.do(x, func(c *control) { delete(c.finishing, s.id) }) }()
+	h, err := d.propose(x, s)
+	if err != nil {
+		d.reject(x, s, err, show)
+		return
+	}
+	if h.Proposed.ChangeID == s.id {
+		d.event(x, event.Proposed, slog.String("ChangeID", s.id), slog.Uint64("Number", h.Proposed.Number), slog.String("Submitter", s.submitter))
+		show(progress{step: stepProposed, number: h.Proposed.Number, sites: h.Proposed.Sites})
+		d.audit(x, stepProposed, h.Proposed, change.Outcome{Number: h.Proposed.Number})
+	}
+	d.conclude(x, s.id, show)
+}
+
+// reject tells and records why a submission was never proposed.
+func (d *Daemon) reject(x context.Context, s submission, err error, show func(progress)) {
+	c := result.CodeOf(err)
+	p := progress{step: stepRefused, err: result.Wrap(c, err, "not proposed")}
+	switch c {
+	case result.Unchanged:
+		p.step = stepUnchanged
+	case result.OutcomeUnknown, result.WriteUnknown, 0:
+		p.step = stepUnknown
+		p.err = result.Wrap(result.OutcomeUnknown, err, "change %s", s.id)
+	}
+	d.event(x, event.SubmissionRefused, slog.String("ChangeID", s.id), slog.String("Submitter", s.submitter), slog.String("Cause", err.Error()))
+	show(p)
+	d.putAudit(x, s.began, platform.Audit{
+		ChangeID:  s.id,
+		Step:      p.step,
+		Submitter: s.submitter,
+		Reason:    s.reason,
+		Problems:  []platform.AuditProblem{{Code: p.err.Code, Text: err.Error()}},
+	})
+}
+
+// problems is the error of a bundle that does not pass the check.
+type problems []site.Problem
+
+// Error returns the first problem.
+func (p problems) Error() string { return p[0].String() }
+
+// Unwrap makes the code of the first problem that of the error.
+func (p problems) Unwrap() error { return result.New(p[0].Code, "%s", p[0].Text) }
+
+// draft is a submission that passed the check.
+type draft struct {
+	submission
+	data   []byte
+	hash   string
+	config site.Configuration
+	stored bool
+	on     uint64
+	read   bool // whether on is known
+}
+
+// propose checks the submission and makes it the proposal of the head. The
+// head that it returns has either the proposal or, when this is a submission
+// sent again, its outcome.
+func (d *Daemon) propose(x context.Context, s submission) (change.Head, error) {
+	f, p := site.Check(s.bundle, s.began)
+	if len(p) > 0 {
+		return change.Head{}, problems(p)
+	}
+	b, err := s.bundle.Encode()
+	if err != nil {
+		return change.Head{}, err
+	}
+	t := &draft{submission: s, data: b, hash: site.Hash(b), config: f, on: s.on, read: s.on > 0}
+	_ = d.do(x, func(c *control) { c.contents[t.hash] = d.compile(t.hash, b) })
+	r := d.random()
+	var w time.Duration
+	for {
+		h, err := d.tryPropose(x, t)
+		if err == nil || !passing(err) {
+			return h, err
+		}
+		if d.now().Sub(s.began) > proposeTime {
+			return h, result.Wrap(result.OutcomeUnknown, err, "not proposed within %s", proposeTime)
+		}
+		// A random wait keeps supervisors that raced from racing again.
+		w = backoff(r, w, proposeWaitMin, proposeWaitMax)
+		if !pause(x, w) {
+			return h, result.Wrap(result.OutcomeUnknown, x.Err(), "change %s", s.id)
+		}
+	}
+}
+
+// passing tells whether to read the head again after err: the write lost a
+// race, or the platform did not say what became of it.
+func passing(err error) bool {
+	switch result.CodeOf(err) {
+	case result.VersionConflict, result.WriteUnknown, result.PlatformUnavailable, result.RateLimited:
+		return true
+	}
+	return false
+}
+
+func (d *Daemon) tryPropose(x context.Context, t *draft) (change.Head, error) {
+	o, h, err := d.readHead(x)
+	if err != nil {
+		return h, err
+	}
+	if _, ok := h.Outcome(t.id); ok || h.Proposed.ChangeID == t.id {
+		return h, nil
+	}
+	if !t.read {
+		t.on = h.InForce.Number
+		t.read = true
+	}
+	if h.InForce.Number != t.on {
+		return h, result.New(result.Conflict, "version %d of change %s is in force, the submission is on version %d", h.InForce.Number, h.InForce.ChangeID, t.on)
+	}
+	if h.InForce.Content == t.hash {
+		return h, result.New(result.Unchanged, "version %d has these files", h.InForce.Number)
+	}
+	p, err := d.proposal(x, t, h)
+	if err != nil {
+		return h, err
+	}
+	n, err := h.WithProposal(p, d.now())
+	if err != nil {
+		return h, err
+	}
+	if !t.stored {
+		if _, err := platform.PutContent(x, d.store, t.data); err != nil {
+			return h, err
+		}
+		t.stored = true
+	}
+	return n, d.writeHead(x, o, n)
+}
+
+// proposal fills in what the head in force says about the submission: the
+// sites that it changes, and whether those are in a break.
+func (d *Daemon) proposal(x context.Context, t *draft, h change.Head) (change.Proposal, error) {
+	p := change.Proposal{
+		Release:     change.Release{Content: t.hash, ChangeID: t.id},
+		Submitter:   t.submitter,
+		Reason:      t.reason,
+		Coordinator: d.settings.Instance,
+		ProposedAt:  t.began,
+	}
+	var f site.Configuration
+	if h.InForce.Number > 0 {
+		k, err := d.content(x, h.InForce.Content, "", nil)
+		if err != nil {
+			return p, result.Wrap(result.NotReady, err, "version %d cannot be read", h.InForce.Number)
+		}
+		f = k.config
+	}
+	for _, s := range f.Diff(t.config) {
+		p.Sites = append(p.Sites, s.Site)
+	}
+	// The breaks in force count: a submission cannot open its own break.
+	now := d.now()
+	w := f.Window(p.Sites, now)
+	if !w.Open {
+		return p, result.New(result.OutsideBreak, "the next break starts %s", w.Next.Format(time.RFC3339))
+	}
+	p.Deadline = change.Deadline(now, time.Duration(d.settings.StageLimit), w.End)
+	return p, nil
+}
--- /dev/null
+++ b/event/doc.go
@@ -0,0 +1,2 @@
+// Package event numbers the log events of figwheel.
+package event
--- /dev/null
+++ b/instance/table.go
@@ -0,0 +1,259 @@
+package instance
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Times and bounds of the protocol.
+const (
+	SuspicionTime   = 2 * time.Second
+	ForgetTime      = 10 * time.Minute
+	newsMax         = 40
+	repeatPerDouble = 2
+)
+
+type entry struct {
+	record  Record
+	changed time.Time // when health or state last changed here
+	repeats int       // how often it is still handed out as news
+}
+
+// Table is what one daemon believes. One goroutine owns it; the zero value
+// is not usable, see New.
+type Table struct {
+	self    string
+	entries map[string]*entry
+	order   []string
+	next    int
+}
+
+// New returns the table of the instance that the record describes.
+func New(self Record, now time.Time) *Table {
+	t := &Table{self: self.Name, entries: make(map[string]*entry)}
+	t.put(self, now)
+	return t
+}
+
+// Self returns the own record.
+func (t *Table) Self() Record { return t.entries[t.self].record }
+
+// SetSelf replaces the own record, at a new incarnation if it differs.
+func (t *Table) SetSelf(r Record, now time.Time) bool {
+	o := t.Self()
+	r.Name, r.Incarnation, r.Health = o.Name, o.Incarnation, Alive
+	if r == o {
+		return false
+	}
+	r.Incarnation++
+	t.put(r, now)
+	return true
+}
+
+func (t *Table) put(r Record, now time.Time) {
+	e, ok := t.entries[r.Name]
+	if !ok {
+		e = &entry{}
+		t.entries[r.Name] = e
+	}
+	e.record = r
+	e.changed = now
+	e.repeats = repeatPerDouble * bits.Len(uint(len(t.entries)))
+}
+
+// Merge takes in news and returns the records that were new. News that is
+// late, repeated or crossed changes nothing. A dead record of an unknown
+// instance is not taken: it would come back from daemons that forgot it last.
+func (t *Table) Merge(news []Record, now time.Time) []Record {
+	var r []Record
+	for _, n := range news {
+		if n.Name == t.self {
+			if s, ok := t.refute(n, now); ok {
+				r = append(r, s)
+			}
+			continue
+		}
+		e, ok := t.entries[n.Name]
+		if !ok && n.Health == Dead || ok && !n.newer(e.record) {
+			continue
+		}
+		t.put(n, now)
+		r = append(r, n)
+	}
+	return r
+}
+
+// refute answers news about this instance that is worse, or newer, than what
+// it says of itself with a still newer incarnation.
+func (t *Table) refute(n Record, now time.Time) (Record, bool) {
+	s := t.Self()
+	if n.Incarnation < s.Incarnation || n == s {
+		return s, false
+	}
+	s.Incarnation = n.Incarnation + 1
+	t.put(s, now)
+	return s, true
+}
+
+// Probe returns the instance to probe next: each once in a shuffled round.
+func (t *Table) Probe(r *rand.Rand) (Record, bool) {
+	for range len(t.entries) + 1 {
+		if t.next >= len(t.order) {
+			t.order = t.names()
+			r.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+			t.next = 0
+		}
+		if len(t.order) == 0 {
+			return Record{}, false
+		}
+		e, ok := t.entries[t.order[t.next]]
+		t.next++
+		if ok && e.record.Live() && e.record.Name != t.self {
+			return e.record, true
+		}
+	}
+	return Record{}, false
+}
+
+// Failed notes that the instance did not answer at the incarnation i and
+// returns the suspicion as news.
+func (t *Table) Failed(name string, i uint64, now time.Time) []Record {
+	e, ok := t.entries[name]
+	if !ok || name == t.self || e.record.Incarnation != i || e.record.Health != Alive {
+		return nil
+	}
+	r := e.record
+	r.Health = Suspect
+	t.put(r, now)
+	return []Record{r}
+}
+
+// Expire turns suspicions that were not refuted in time into deaths, which it
+// returns, and forgets who is gone for long.
+func (t *Table) Expire(now time.Time) []Record {
+	var d []Record
+	for n, e := range t.entries {
+		a := now.Sub(e.changed)
+		switch {
+		case n == t.self:
+		case e.record.Health == Suspect && a >= SuspicionTime:
+			r := e.record
+			r.Health = Dead
+			t.put(r, now)
+			d = append(d, r)
+		case !e.record.Live() && a >= ForgetTime:
+			delete(t.entries, n)
+		}
+	}
+	return d
+}
+
+// News returns the records that have been handed out least, the most urgent
+// first, and counts them as handed out once more.
+func (t *Table) News() []Record {
+	var l []*entry
+	for _, e := range t.entries {
+		if e.repeats > 0 {
+			l = append(l, e)
+		}
+	}
+	slices.SortFunc(l, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.repeats, a.repeats), cmp.Compare(a.record.Name, b.record.Name))
+	})
+	l = l[:min(len(l), newsMax)]
+	r := make([]Record, 0, len(l))
+	for _, e := range l {
+		e.repeats--
+		r = append(r, e.record)
+	}
+	return r
+}
+
+// All returns every record in the order of the names.
+func (t *Table) All() []Record {
+	r := make([]Record, 0, len(t.entries))
+	for _, n := range t.names() {
+		r = append(r, t.entries[n].record)
+	}
+	return r
+}
+
+// Live returns the records that a change has to wait for.
+func (t *Table) Live() []Record {
+	return slices.DeleteFunc(t.All(), func(r Record) bool { return !r.Live() })
+}
+
+// Get returns the record of an instance and when it last changed.
+func (t *Table) Get(name string) (Record, time.Time, bool) {
+	e, ok := t.entries[name]
+	if !ok {
+		return Record{}, time.Time{}, false
+	}
+	return e.record, e.changed, true
+}
+
+// Digest returns a hash that two tables share when they hold the same live
+// records; its order does not matter, so it is a sum.
+func (t *Table) Digest() uint64 {
+	var d uint64
+	var b [16]byte
+	for n, e := range t.entries {
+		if !e.record.Live() {
+			continue
+		}
+		binary.LittleEndian.PutUint64(b[:8], e.record.Incarnation)
+		binary.LittleEndian.PutUint64(b[8:], uint64(e.record.Health))
+		d += xxh3.HashStringSeed(n, xxh3.Hash(b[:]))
+	}
+	return d
+}
+
+// Some returns up to k live instances other than this one and skip, at
+// random.
+func (t *Table) Some(r *rand.Rand, k int, skip string) []Record {
+	l := t.Live()
+	l = slices.DeleteFunc(l, func(m Record) bool { return m.Name == t.self || m.Name == skip })
+	r.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(k, len(l))]
+}
+
+// Rank returns the place of name among the live instances of a site when they
+// are ordered by rendezvous hashing of key, or -1.
+func (t *Table) Rank(site, key, name string) int {
+	own, rank := weight(key, name), 0
+	found := false
+	for n, e := range t.entries {
+		if !e.record.Live() || e.record.Site != site {
+			continue
+		}
+		if n == name {
+			found = true
+			continue
+		}
+		w := weight(key, n)
+		if w > own || w == own && n < name {
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
+}
+
+func weight(key, name string) uint64 { return xxh3.HashStringSeed(name, xxh3.HashString(key)) }
+
+func (t *Table) names() []string {
+	r := make([]string, 0, len(t.entries))
+	for n := range t.entries {
+		r = append(r, n)
+	}
+	slices.Sort(r)
+	return r
+}
--- /dev/null
+++ b/metric/doc.go
@@ -0,0 +1,3 @@
+// Package metric counts what a daemon does, by OpenTelemetry with an endpoint
+// for Prometheus.
+package metric
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,130 @@
+package metric
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	otel "go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"figwheel/contract"
+	"figwheel/result"
+)
+
+var metricError = errs.Class("metric")
+
+// Gauges are the values that are read when metrics are collected.
+type Gauges struct {
+	Version      func() int64 // in force here
+	ControlIn    func() int64 // bytes received from daemons
+	ControlOut   func() int64 // bytes sent to daemons
+	InFlight     func() int64 // at the worker
+	PlatformCall func() int64 // calls of the platform
+}
+
+// Set holds the instruments of one daemon.
+type Set struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+	calls    otel.Int64Counter
+	duration otel.Float64Histogram
+	changes  otel.Int64Counter
+	options  sync.Map // of otel.MeasurementOption, by callKey
+}
+
+type callKey struct {
+	service string
+	code    result.Code
+	outcome contract.Outcome
+}
+
+// New returns the instruments of a daemon.
+func New(g Gauges) (*Set, error) {
+	r := prometheus.NewRegistry()
+	e, err := exporter.New(exporter.WithRegisterer(r), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, metricError.Wrap(err)
+	}
+	s := &Set{
+		provider: sdk.NewMeterProvider(sdk.WithReader(e)),
+		handler:  promhttp.HandlerFor(r, promhttp.HandlerOpts{}),
+	}
+	return s, metricError.Wrap(s.create(g))
+}
+
+func (s *Set) create(g Gauges) error {
+	m := s.provider.Meter("figwheel")
+	var e errs.Group
+	var err error
+	s.calls, err = m.Int64Counter("figwheel.calls", otel.WithDescription("calls by service, code and outcome"))
+	e.Add(err)
+	s.duration, err = m.Float64Histogram("figwheel.call.duration", otel.WithUnit("s"), otel.WithDescription("time from request to end of answer"))
+	e.Add(err)
+	s.changes, err = m.Int64Counter("figwheel.changes", otel.WithDescription("changes that this daemon ended, by code"))
+	e.Add(err)
+	e.Add(gauge(m, "figwheel.version", "", g.Version))
+	e.Add(gauge(m, "figwheel.inflight", "", g.InFlight))
+	e.Add(counter(m, "figwheel.control.received", "By", g.ControlIn))
+	e.Add(counter(m, "figwheel.control.sent", "By", g.ControlOut))
+	e.Add(counter(m, "figwheel.platform.calls", "", g.PlatformCall))
+	return e.Err()
+}
+
+func gauge(m otel.Meter, name, unit string, f func() int64) error {
+	_, err := m.Int64ObservableGauge(name, otel.WithUnit(unit), otel.WithInt64Callback(observe(f)))
+	return err
+}
+
+func counter(m otel.Meter, name, unit string, f func() int64) error {
+	_, err := m.Int64ObservableCounter(name, otel.WithUnit(unit), otel.WithInt64Callback(observe(f)))
+	return err
+}
+
+func observe(f func() int64) otel.Int64Callback {
+	return func(_ context.Context, o otel.Int64Observer) error {
+		o.Observe(f())
+		return nil
+	}
+}
+
+// Handler serves the metrics to Prometheus.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Call counts one call.
+func (s *Set) Call(service string, c result.Code, o contract.Outcome, took time.Duration) {
+	k := callKey{service, c, o}
+	v, ok := s.options.Load(k)
+	if !ok {
+		n := "ok"
+		if c != 0 {
+			n = c.String()
+		}
+		v, _ = s.options.LoadOrStore(k, otel.WithAttributeSet(attribute.NewSet(
+			attribute.String("service", service),
+			attribute.String("code", n),
+			attribute.String("outcome", o.String()),
+		)))
+	}
+	p := v.(otel.MeasurementOption)
+	s.calls.Add(context.Background(), 1, p)
+	s.duration.Record(context.Background(), took.Seconds(), p)
+}
+
+// Change counts one change that ended with the code, 0 for accepted.
+func (s *Set) Change(c result.Code) {
+	n := "accepted"
+	if c != 0 {
+		n = c.String()
+	}
+	s.changes.Add(context.Background(), 1, otel.WithAttributes(attribute.String("code", n)))
+}
+
+// Close ends the collection.
+func (s *Set) Close(x context.Context) error { return metricError.Wrap(s.provider.Shutdown(x)) }
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"figwheel/hop"
+	"figwheel/peer/peerpb"
+)
+
+const (
+	dialTime        = 500 * time.Millisecond
+	idlePerAddress  = 2
+	idleAll         = 64
+	messageBytesMax = 16 << 20
+)
+
+// Client calls other daemons by their peer address.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client whose traffic m counts.
+func NewClient(m *Meter) *Client {
+	t := hop.NewTransport(0, dialTime)
+	t.DialContext = m.Dial(t.DialContext)
+	t.MaxIdleConnsPerHost = idlePerAddress
+	t.MaxIdleConns = idleAll
+	return &Client{&http.Client{Transport: t}}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) at(address string) peerpb.PeerServiceClient {
+	return peerpb.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(messageBytesMax))
+}
+
+// Deliver carries a head to the daemon at the address and the tree below it.
+func (c *Client) Deliver(x context.Context, address string, q *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
+	return c.at(address).Deliver(x, q)
+}
+
+// Exchange swaps membership news with the daemon at the address.
+func (c *Client) Exchange(x context.Context, address string, q *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	return c.at(address).Exchange(x, q)
+}
+
+// Fetch returns a compressed content of the daemon at the address.
+func (c *Client) Fetch(x context.Context, address, content string) ([]byte, error) {
+	p, err := c.at(address).Fetch(x, &peerpb.FetchRequest{Content: content})
+	if err != nil {
+		return nil, err
+	}
+	return p.GetCompressed(), nil
+}
+
+// NewHandler returns the path and the handler of the service s.
+func NewHandler(s peerpb.PeerServiceHandler) (string, http.Handler) {
+	return peerpb.NewPeerServiceHandler(s, connect.WithReadMaxBytes(messageBytesMax))
+}
--- /dev/null
+++ b/result/code_test.go
@@ -0,0 +1,43 @@
+package result_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/result"
+)
+
+// TestTableIsDocumented keeps docs/CODES.md equal to the code.
+func TestTableIsDocumented(t *testing.T) {
+	var b strings.Builder
+	last := result.Code(0)
+	for _, e := range result.Table() {
+		if e.Code <= last {
+			t.Errorf("%s after %s: codes ascend", e.Code, last)
+		}
+		last = e.Code
+		_, _ = fmt.Fprintf(&b, "| %s | %s | %s |\n", e.Code, e.Name, e.Meaning)
+	}
+	if d := cmp.Diff(b.String(), rows(t, "../docs/CODES.md", "| FW")); d != "" {
+		t.Errorf("docs/CODES.md differs (-code +docs)\n%s", d)
+	}
+}
+
+func rows(t *testing.T, path, prefix string) string {
+	t.Helper()
+	d, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for l := range strings.Lines(string(d)) {
+		if strings.HasPrefix(l, prefix) {
+			b.WriteString(l)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,186 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"figwheel/result"
+)
+
+// Settings are the settings of one daemon. Every address is host:port, where
+// the host is the IP number that others reach the instance by.
+type Settings struct {
+	Instance   string `yaml:"Instance"`   // name of the instance, unique in the fleet
+	Site       string `yaml:"Site"`       // site whose configuration it serves
+	DataCentre string `yaml:"DataCentre"` // data centre it stands in
+	Region     string `yaml:"Region"`     // region of the data centre
+
+	Platform string `yaml:"Platform"` // URL of the platform's object API
+
+	CallAddress     string `yaml:"CallAddress"`     // callers
+	LinkAddress     string `yaml:"LinkAddress"`     // calls from other daemons
+	PeerAddress     string `yaml:"PeerAddress"`     // control traffic of other daemons
+	UpstreamAddress string `yaml:"UpstreamAddress"` // announcements of the worker
+	OperatorAddress string `yaml:"OperatorAddress"` // supervisors, operators, metrics
+
+	Seeds []string `yaml:"Seeds"` // peer addresses to try while the platform is out
+
+	StageLimit Duration `yaml:"StageLimit"` // how long a change may be staged
+	DrainLimit Duration `yaml:"DrainLimit"` // how long a stop waits for requests in flight
+	LogLevel   string   `yaml:"LogLevel"`   // Debug, Info, Warn or Error
+}
+
+// Defaults of the settings that may be left out.
+const (
+	defaultStageLimit = 30 * time.Second
+	defaultDrainLimit = 30 * time.Second
+	limitMin          = 100 * time.Millisecond
+	limitMax          = 10 * time.Minute
+)
+
+// Duration is a time.Duration that YAML states with its unit.
+type Duration time.Duration
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
+	t, err := time.ParseDuration(n.Value)
+	if err != nil {
+		return fmt.Errorf("line %d: %q is no duration with its unit, such as 30s", n.Line, n.Value)
+	}
+	*d = Duration(t)
+	return nil
+}
+
+// Load reads the file and lets the environment override it: FIGWHEEL_ and the
+// name of a setting in capitals, such as FIGWHEEL_PEERADDRESS.
+func Load(path string, environ []string) (Settings, error) {
+	d, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, result.Wrap(result.BadSettings, err, "settings")
+	}
+	s, err := Parse(d, environ)
+	if err != nil {
+		return s, result.Wrap(result.BadSettings, err, "%s", path)
+	}
+	return s, nil
+}
+
+// Parse reads settings from YAML and the environment and checks them.
+func Parse(d []byte, environ []string) (Settings, error) {
+	var s Settings
+	e := yaml.NewDecoder(bytes.NewReader(d))
+	e.KnownFields(true)
+	if err := e.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return s, err
+	}
+	s.override(environ)
+	s = s.withDefaults()
+	return s, s.Check()
+}
+
+type text struct {
+	name  string
+	value *string
+}
+
+func (s *Settings) texts() []text {
+	return []text{
+		{"Instance", &s.Instance},
+		{"Site", &s.Site},
+		{"DataCentre", &s.DataCentre},
+		{"Region", &s.Region},
+		{"Platform", &s.Platform},
+		{"CallAddress", &s.CallAddress},
+		{"LinkAddress", &s.LinkAddress},
+		{"PeerAddress", &s.PeerAddress},
+		{"UpstreamAddress", &s.UpstreamAddress},
+		{"OperatorAddress", &s.OperatorAddress},
+		{"LogLevel", &s.LogLevel},
+	}
+}
+
+func (s *Settings) override(environ []string) {
+	for _, e := range environ {
+		k, v, _ := strings.Cut(e, "=")
+		for _, t := range s.texts() {
+			if k == "FIGWHEEL_"+strings.ToUpper(t.name) {
+				*t.value = v
+			}
+		}
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.StageLimit == 0 {
+		s.StageLimit = Duration(defaultStageLimit)
+	}
+	if s.DrainLimit == 0 {
+		s.DrainLimit = Duration(defaultDrainLimit)
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "Info"
+	}
+	return s
+}
+
+// Level returns the level of the log.
+func (s Settings) Level() slog.Level {
+	var l slog.Level
+	_ = l.UnmarshalText([]byte(s.LogLevel))
+	return l
+}
+
+// Check returns every fault of the settings in one numbered error, or nil.
+func (s Settings) Check() error {
+	var p []string
+	fail := func(format string, a ...any) { p = append(p, fmt.Sprintf(format, a...)) }
+	name := regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	if !name.MatchString(s.Instance) {
+		fail("Instance %q is not 1 to 63 lower-case letters, digits and dashes", s.Instance)
+	}
+	if !name.MatchString(s.Site) {
+		fail("Site %q is not 1 to 63 lower-case letters, digits and dashes", s.Site)
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		fail("Platform %q is not an http or https URL", s.Platform)
+	}
+	for _, t := range s.texts() {
+		if strings.HasSuffix(t.name, "Address") && !validAddress(*t.value) {
+			fail("%s %q is not an IP number and a port", t.name, *t.value)
+		}
+	}
+	for _, a := range s.Seeds {
+		if !validAddress(a) {
+			fail("Seeds has %q, which is not an IP number and a port", a)
+		}
+	}
+	for _, d := range []Duration{s.StageLimit, s.DrainLimit} {
+		if t := time.Duration(d); t < limitMin || t > limitMax {
+			fail("StageLimit and DrainLimit take %s to %s, not %s", limitMin, limitMax, t)
+		}
+	}
+	var l slog.Level
+	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
+		fail("LogLevel %q is not Debug, Info, Warn or Error", s.LogLevel)
+	}
+	if len(p) > 0 {
+		return result.New(result.BadSettings, "%s", strings.Join(p, "; "))
+	}
+	return nil
+}
+
+func validAddress(a string) bool {
+	h, _, err := net.SplitHostPort(a)
+	return err == nil && net.ParseIP(h) != nil
+}
--- /dev/null
+++ b/site/decode.go
@@ -0,0 +1,182 @@
+package site
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"figwheel/result"
+)
+
+// decoder walks a YAML tree, keeps every problem it meets and never stops at
+// the first: a supervisor has one break to mend the whole file.
+type decoder struct {
+	file     string
+	problems []Problem
+}
+
+type field struct {
+	name string
+	read func(k, v *yaml.Node)
+}
+
+// root parses text and returns its top mapping, or nil.
+func (d *decoder) root(text string) *yaml.Node {
+	var n yaml.Node
+	if err := yaml.Unmarshal([]byte(text), &n); err != nil {
+		d.problems = append(d.problems, Problem{Code: result.Syntax, At: d.syntaxPosition(err), Text: err.Error()})
+		return nil
+	}
+	if len(n.Content) == 0 {
+		d.problems = append(d.problems, Problem{Code: result.Missing, At: Position{d.file, 1, 1}, Text: "the file is empty"})
+		return nil
+	}
+	return n.Content[0]
+}
+
+// syntaxPosition takes the line out of the library's text, the only place
+// that has it.
+func (d *decoder) syntaxPosition(err error) Position {
+	p := Position{File: d.file, Line: 1, Column: 1}
+	m := regexp.MustCompile(`line (\d+)`).FindStringSubmatch(err.Error())
+	if m != nil {
+		p.Line, _ = strconv.Atoi(m[1])
+	}
+	return p
+}
+
+func (d *decoder) at(n *yaml.Node) Position { return Position{d.file, n.Line, n.Column} }
+
+func (d *decoder) fail(n *yaml.Node, c result.Code, format string, a ...any) {
+	d.problems = append(d.problems, Problem{Code: c, At: d.at(n), Text: fmt.Sprintf(format, a...)})
+}
+
+// resolve follows an alias, so that anchors work as in any YAML file.
+func resolve(n *yaml.Node) *yaml.Node {
+	for n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	return n
+}
+
+// pairs calls f for each key of the mapping n and reports duplicates.
+func (d *decoder) pairs(n *yaml.Node, f func(k, v *yaml.Node)) {
+	n = resolve(n)
+	if n.Kind != yaml.MappingNode {
+		d.fail(n, result.WrongType, "a mapping is needed here")
+		return
+	}
+	seen := make(map[string]int)
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k := n.Content[i]
+		if l, ok := seen[k.Value]; ok {
+			d.fail(k, result.DuplicateKey, "%q stands already at line %d", k.Value, l)
+			continue
+		}
+		seen[k.Value] = k.Line
+		f(k, resolve(n.Content[i+1]))
+	}
+}
+
+// fields reads the mapping n with one reader a key.
+func (d *decoder) fields(n *yaml.Node, fs ...field) {
+	d.pairs(n, func(k, v *yaml.Node) {
+		for _, f := range fs {
+			if f.name == k.Value {
+				f.read(k, v)
+				return
+			}
+		}
+		d.fail(k, result.UnknownKey, "unknown key %q; known: %s", k.Value, names(fs))
+	})
+}
+
+func names(fs []field) string {
+	r := make([]string, 0, len(fs))
+	for _, f := range fs {
+		r = append(r, f.name)
+	}
+	return strings.Join(r, ", ")
+}
+
+// items calls f for each element of the sequence n.
+func (d *decoder) items(n *yaml.Node, f func(v *yaml.Node)) {
+	if n.Kind != yaml.SequenceNode {
+		d.fail(n, result.WrongType, "a list is needed here")
+		return
+	}
+	for _, v := range n.Content {
+		f(resolve(v))
+	}
+}
+
+// scalar returns the text of n and whether it is a value that is not null.
+func (d *decoder) scalar(n *yaml.Node) (string, bool) {
+	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+		d.fail(n, result.WrongType, "a single value is needed here")
+		return "", false
+	}
+	return n.Value, true
+}
+
+func (d *decoder) text(name string, t *Value[string]) field {
+	return field{name, func(_, v *yaml.Node) {
+		if s, ok := d.scalar(v); ok {
+			*t = Value[string]{s, d.at(v)}
+		}
+	}}
+}
+
+func (d *decoder) number(name string, low, high int, t *Value[int]) field {
+	return field{name, func(_, v *yaml.Node) {
+		s, ok := d.scalar(v)
+		if !ok {
+			return
+		}
+		i, err := strconv.Atoi(s)
+		if err != nil {
+			d.fail(v, result.BadValue, "%s takes a whole number, not %q", name, s)
+			return
+		}
+		if i < low || i > high {
+			d.fail(v, result.OutOfRange, "%s is %d; it takes %d to %d", name, i, low, high)
+			return
+		}
+		*t = Value[int]{i, d.at(v)}
+	}}
+}
+
+func (d *decoder) duration(name string, low, high time.Duration, t *Value[time.Duration]) field {
+	return field{name, func(_, v *yaml.Node) {
+		s, ok := d.scalar(v)
+		if !ok {
+			return
+		}
+		u, err := time.ParseDuration(s)
+		if err != nil {
+			d.fail(v, result.BadValue, "%s takes a duration with its unit, such as 250ms or 2s, not %q", name, s)
+			return
+		}
+		if u < low || u > high {
+			d.fail(v, result.OutOfRange, "%s is %s; it takes %s to %s", name, u, low, high)
+			return
+		}
+		*t = Value[time.Duration]{u, d.at(v)}
+	}}
+}
+
+func (d *decoder) list(name string, t *Value[[]string]) field {
+	return field{name, func(k, v *yaml.Node) {
+		r := make([]string, 0, len(v.Content))
+		d.items(v, func(n *yaml.Node) {
+			if s, ok := d.scalar(n); ok {
+				r = append(r, s)
+			}
+		})
+		*t = Value[[]string]{r, d.at(k)}
+	}}
+}
--- /dev/null
+++ b/site/merge.go
@@ -0,0 +1,148 @@
+package site
+
+import (
+	"maps"
+	"regexp"
+	"slices"
+
+	"go.yaml.in/yaml/v3"
+
+	"figwheel/result"
+)
+
+// layer is one decoded file.
+type layer struct {
+	organisation Value[string]
+	sites        Value[[]string]
+	site         Value[string]
+	breaks       Value[Breaks]
+	services     map[string]service
+	routes       map[string]route
+	removed      removal
+}
+
+// removal names what an overlay takes away.
+type removal struct {
+	services Value[[]string]
+	routes   Value[[]string]
+}
+
+func (d *decoder) named(n *yaml.Node, f func(k, v *yaml.Node)) {
+	d.pairs(n, func(k, v *yaml.Node) {
+		if !validName(k.Value) {
+			d.fail(k, result.BadValue, "%q is not a name; names have 1 to 63 lower-case letters, digits and dashes", k.Value)
+			return
+		}
+		f(k, v)
+	})
+}
+
+func (d *decoder) common(l *layer) []field {
+	l.services = make(map[string]service)
+	l.routes = make(map[string]route)
+	return []field{
+		{"Breaks", func(k, v *yaml.Node) { l.breaks = Value[Breaks]{d.breaks(v), d.at(k)} }},
+		{"Services", func(_, v *yaml.Node) {
+			d.named(v, func(k, v *yaml.Node) { l.services[k.Value] = d.service(k, v) })
+		}},
+		{"Routes", func(_, v *yaml.Node) {
+			d.named(v, func(k, v *yaml.Node) { l.routes[k.Value] = d.route(k, v) })
+		}},
+	}
+}
+
+func (d *decoder) base(text string) layer {
+	var l layer
+	fs := d.common(&l)
+	n := d.root(text)
+	if n == nil {
+		return l
+	}
+	fs = append([]field{d.text("Organisation", &l.organisation), d.list("Sites", &l.sites)}, fs...)
+	d.fields(n, fs...)
+	if !l.organisation.IsSet() {
+		d.fail(n, result.Missing, "the base has no Organisation")
+	}
+	if len(l.sites.V) == 0 {
+		d.fail(n, result.Missing, "the base lists no Sites")
+	}
+	for i, s := range l.sites.V {
+		if !validName(s) {
+			d.problems = append(d.problems, Problem{result.BadValue, l.sites.At, s + " is not a name"})
+		}
+		if slices.Contains(l.sites.V[:i], s) {
+			d.problems = append(d.problems, Problem{result.DuplicateSite, l.sites.At, "Sites lists " + s + " twice"})
+		}
+	}
+	return l
+}
+
+func (d *decoder) overlay(text string) layer {
+	var l layer
+	fs := d.common(&l)
+	n := d.root(text)
+	if n == nil {
+		return l
+	}
+	fs = append([]field{d.text("Site", &l.site)}, fs...)
+	fs = append(fs, field{"Remove", func(_, v *yaml.Node) {
+		d.fields(v, d.list("Services", &l.removed.services), d.list("Routes", &l.removed.routes))
+	}})
+	d.fields(n, fs...)
+	if !l.site.IsSet() {
+		d.fail(n, result.Missing, "the overlay names no Site")
+	}
+	return l
+}
+
+func validName(s string) bool {
+	return regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`).MatchString(s)
+}
+
+// merged is the configuration of one site with the source of each value.
+type merged struct {
+	site     string
+	breaks   Value[Breaks]
+	services map[string]service
+	routes   map[string]route
+}
+
+// merge lays o over b: what o states replaces what b states value by value,
+// a list or the breaks as a whole, what o removes is gone. It does not change
+// its arguments.
+func merge(name string, b, o layer, c *checker) merged {
+	m := merged{
+		site:     name,
+		breaks:   o.breaks.Or(b.breaks),
+		services: maps.Clone(b.services),
+		routes:   maps.Clone(b.routes),
+	}
+	remove(m.services, o.removed.services, "service", c)
+	remove(m.routes, o.removed.routes, "route", c)
+	for n, s := range o.services {
+		p, ok := m.services[n]
+		if !ok {
+			p.at = s.at
+		}
+		m.services[n] = s.over(p)
+	}
+	for n, r := range o.routes {
+		p, ok := m.routes[n]
+		if !ok {
+			p.at = r.at
+		}
+		m.routes[n] = r.over(p)
+	}
+	return m
+}
+
+func remove[T any](m map[string]T, v Value[[]string], kind string, c *checker) {
+	for _, n := range v.V {
+		if _, ok := m[n]; !ok {
+			c.fail(v.At, result.RemoveAbsent, "the base has no %s %s to remove", kind, n)
+		}
+		delete(m, n)
+	}
+}
+
+func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/site/snapshot.go
@@ -0,0 +1,138 @@
+package site
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"figwheel/result"
+)
+
+// Snapshot is what one site serves under one version. It is immutable, so
+// that calls use it without locks while a newer one takes its place.
+type Snapshot struct {
+	number   uint64
+	site     string
+	content  string
+	services map[string]*Service
+	byHost   map[string][]Route
+	anyHost  []Route
+}
+
+// Snapshot compiles the configuration of a site under the version number and
+// the content hash.
+func (c Configuration) Snapshot(site string, number uint64, content string) (*Snapshot, error) {
+	m, ok := c.merged[site]
+	if !ok {
+		return nil, result.New(result.UnknownSite, "the configuration lists no site %s", site)
+	}
+	s := &Snapshot{
+		number:   number,
+		site:     site,
+		content:  content,
+		services: make(map[string]*Service, len(m.services)),
+		byHost:   make(map[string][]Route),
+	}
+	for n, v := range m.services {
+		t := v.compile(n)
+		s.services[n] = &t
+	}
+	for _, n := range sorted(m.routes) {
+		r := m.routes[n].compile(n)
+		if r.Host == "" {
+			s.anyHost = append(s.anyHost, r)
+			continue
+		}
+		s.byHost[r.Host] = append(s.byHost[r.Host], r)
+	}
+	for _, l := range s.byHost {
+		slices.SortStableFunc(l, Route.before)
+	}
+	slices.SortStableFunc(s.anyHost, Route.before)
+	return s, nil
+}
+
+// Number returns the version, 0 for a nil snapshot.
+func (s *Snapshot) Number() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.number
+}
+
+// Content returns the hash of the content that the snapshot was compiled from.
+func (s *Snapshot) Content() string { return s.content }
+
+// Site returns the name of the site.
+func (s *Snapshot) Site() string { return s.site }
+
+// Service returns the service of that name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// Match returns the most specific route for a request.
+func (s *Snapshot) Match(r *http.Request) (*Route, bool) {
+	h := hostOnly(r.Host)
+	if t := find(s.byHost[h], r); t != nil {
+		return t, true
+	}
+	t := find(s.anyHost, r)
+	return t, t != nil
+}
+
+func find(l []Route, r *http.Request) *Route {
+	for i := range l {
+		if l[i].matches(r) {
+			return &l[i]
+		}
+	}
+	return nil
+}
+
+// matches compares the prefix by whole path segments: /hire is no prefix of
+// /hires.
+func (r *Route) matches(q *http.Request) bool {
+	if !underPrefix(q.URL.Path, r.PathPrefix) {
+		return false
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, q.Method) {
+		return false
+	}
+	for _, h := range r.Headers {
+		if q.Header.Get(h.Name) != h.Value {
+			return false
+		}
+	}
+	return true
+}
+
+func underPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func hostOnly(h string) string {
+	if i := strings.LastIndexByte(h, ':'); i >= 0 && !strings.HasSuffix(h, "]") {
+		h = h[:i]
+	}
+	return strings.ToLower(h)
+}
+
+// Idempotent tells whether a request may be run twice under the contract of
+// the service: by its method, unless the service says otherwise.
+func (s *Service) Idempotent(method, path string) bool {
+	for _, o := range s.NotIdempotent {
+		if (len(o.Methods) == 0 || slices.Contains(o.Methods, method)) && underPrefix(path, o.Path) {
+			return false
+		}
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/upstream/upstreamtest/worker.go
@@ -0,0 +1,174 @@
+package upstreamtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
+
+	"figwheel/upstream"
+)
+
+// Headers of the requests and answers of the stand-in.
+const (
+	RequestHeader = "Request-Id"
+	ServiceHeader = "Worker-Service"
+	NameHeader    = "Worker-Name"
+)
+
+const announceEvery = 500 * time.Millisecond
+
+var workerError = errs.Class("worker")
+
+// Worker is the stand-in.
+type Worker struct {
+	Name    string
+	Service string
+	Slots   int
+	Work    time.Duration // spent on each request
+
+	mu    sync.Mutex
+	runs  map[string]int
+	peak  int
+	now   int
+	state string
+}
+
+// Answer returns the bytes that a worker of the service answers to the
+// request id with the body: they depend on all of it, so that a caller can
+// tell its own answer from any other.
+func Answer(service, id string, body []byte) []byte {
+	const padding = 600
+	h := xxh3.HashString(service + "\x00" + id + "\x00" + string(body))
+	b := fmt.Appendf(nil, "%s %s %016x ", service, id, h)
+	for len(b) < padding {
+		h = xxh3.HashString(strconv.FormatUint(h, 16))
+		b = strconv.AppendUint(b, h, 16)
+	}
+	return b
+}
+
+// ServeHTTP implements http.Handler.
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(RequestHeader)
+	k.begin(id)
+	defer k.end()
+	if k.Work > 0 {
+		time.Sleep(k.Work)
+	}
+	w.Header().Set(ServiceHeader, k.Service)
+	w.Header().Set(NameHeader, k.Name)
+	_, _ = w.Write(Answer(k.Service, id, b))
+}
+
+func (k *Worker) begin(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.runs == nil {
+		k.runs = make(map[string]int)
+	}
+	if id != "" {
+		k.runs[id]++
+	}
+	k.now++
+	k.peak = max(k.peak, k.now)
+}
+
+func (k *Worker) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.now--
+}
+
+// Runs returns how often each request was run.
+func (k *Worker) Runs() map[string]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := make(map[string]int, len(k.runs))
+	for n, v := range k.runs {
+		r[n] = v
+	}
+	return r
+}
+
+// Peak returns the most requests that ran at one time.
+func (k *Worker) Peak() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.peak
+}
+
+// SetState sets what the next announcements say.
+func (k *Worker) SetState(s string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state = s
+}
+
+func (k *Worker) announcement(address string) upstream.Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.state
+	if s == "" {
+		s = "Ready"
+	}
+	return upstream.Announcement{Service: k.Service, Address: address, State: s, Slots: k.Slots}
+}
+
+// Run serves on l and announces itself at the upstream address of its daemon
+// until x ends.
+func (k *Worker) Run(x context.Context, l net.Listener, daemon string) error {
+	s := &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t := time.NewTicker(announceEvery)
+	defer t.Stop()
+	for x.Err() == nil {
+		_ = Announce(x, daemon, k.announcement(l.Addr().String()))
+		select {
+		case <-x.Done():
+		case <-t.C:
+		}
+	}
+	_ = s.Close()
+	if err := <-done; err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return workerError.Wrap(err)
+	}
+	return nil
+}
+
+// Announce posts one announcement to a daemon.
+func Announce(x context.Context, daemon string, a upstream.Announcement) error {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return workerError.Wrap(err)
+	}
+	q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+daemon+upstream.AnnouncePath, bytes.NewReader(b))
+	if err != nil {
+		return workerError.Wrap(err)
+	}
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return workerError.Wrap(err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	if p.StatusCode != http.StatusNoContent {
+		t, _ := io.ReadAll(io.LimitReader(p.Body, 1024))
+		return workerError.New("%s: %s", p.Status, t)
+	}
+	return nil
+}
