--- a/daemon/control.go
+++ b/daemon/control.go
@@ -245,6 +245,17 @@
 	c.changed = make(chan struct{})
 }
 
+// readyNames returns the instances that get calls.
+func (c *control) readyNames() []string {
+	var n []string
+	for _, r := range c.table.All() {
+		if r.Service != "" && r.Serves(r.Service) {
+			n = append(n, r.Name)
+		}
+	}
+	return n
+}
+
 func (c *control) link(name string) *link.Peer {
 	p, ok := c.links[name]
 	if !ok {
@@ -257,7 +268,7 @@
 // platformAnswered notes whether the platform answered and logs the change.
 func (c *control) platformAnswered(err error) {
 	up := err == nil || result.CodeOf(err) == result.VersionConflict || result.CodeOf(err) == result.NotFound
-	if up == c.reachable {
+	if up == c.reachable || c.x.Err() != nil || c.draining {
 		return
 	}
 	c.reachable = up
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -119,7 +119,7 @@
 func fromFile(f site.File) *operatorpb.File { return &operatorpb.File{Name: f.Name, Text: f.Text} }
 
 // Status implements operatorpb.OperatorServiceHandler.
-func (o operators) Status(x context.Context, _ *operatorpb.StatusRequest) (*operatorpb.StatusResponse, error) {
+func (o operators) Status(x context.Context, q *operatorpb.StatusRequest) (*operatorpb.StatusResponse, error) {
 	var h change.Head
 	r := &operatorpb.StatusResponse{Instance: o.d.settings.Instance}
 	err := o.d.do(x, func(c *control) {
@@ -131,6 +131,7 @@
 			r.Content = c.serving.Content()
 		}
 		r.ChangeID = c.target.ChangeID
+		r.ReadyInstances = c.readyNames()
 		if h.HasProposal() {
 			r.ProposedNumber = h.Proposed.Number
 			r.ProposedChangeID = h.Proposed.ChangeID
@@ -139,6 +140,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	if q.GetLocal() {
+		return r, nil
+	}
 	n, err := o.d.deliver(x, h)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -51,9 +52,8 @@
 
 // reject tells and records why a submission was never proposed.
 func (d *Daemon) reject(x context.Context, s submission, err error, show func(progress)) {
-	c := result.CodeOf(err)
-	p := progress{step: stepRefused, err: result.Wrap(c, err, "not proposed")}
-	switch c {
+	p := progress{step: stepRefused, err: numbered(err)}
+	switch p.err.Code {
 	case result.Unchanged:
 		p.step = stepUnchanged
 	case result.OutcomeUnknown, result.WriteUnknown, 0:
@@ -71,6 +71,19 @@
 	})
 }
 
+// numbered returns the numbered error in err's chain; a bundle's problems stay
+// its cause.
+func numbered(err error) *result.Error {
+	var e *result.Error
+	if p := problems(nil); errors.As(err, &p) {
+		return result.Wrap(p[0].Code, p, "%d problems", len(p))
+	}
+	if errors.As(err, &e) {
+		return e
+	}
+	return result.Wrap(0, err, "not proposed")
+}
+
 // problems is the error of a bundle that does not pass the check.
 type problems []site.Problem
 
--- /dev/null
+++ b/demo/settle.go
@@ -0,0 +1,43 @@
+package demo
+
+import (
+	"context"
+	"slices"
+
+	"figwheel/operator"
+	"figwheel/operator/operatorpb"
+)
+
+// known tells whether every daemon knows every other.
+func (m *Mesh) known(x context.Context) bool {
+	for _, k := range m.Instances {
+		s, err := operator.NewClient(k.Settings.OperatorAddress).Status(x, &operatorpb.StatusRequest{})
+		if err != nil {
+			return false
+		}
+		var n uint32
+		for _, p := range s.GetSites() {
+			n += p.GetLive()
+		}
+		if int(n) != len(m.Instances) {
+			return false
+		}
+	}
+	return true
+}
+
+// ready tells whether every daemon sends calls to every worker.
+func (m *Mesh) ready(x context.Context) bool {
+	for _, k := range m.Instances {
+		s, err := operator.NewClient(k.Settings.OperatorAddress).Status(x, &operatorpb.StatusRequest{Local: true})
+		if err != nil || !s.GetReady() {
+			return false
+		}
+		for _, o := range m.Instances {
+			if !slices.Contains(s.GetReadyInstances(), o.Name) {
+				return false
+			}
+		}
+	}
+	return true
+}
