Bound the storms of a joining herd; keep platform calls a change flat

Cause: 200 daemons that joined at once in one process never settled (30 s), and platform calls a change grew with the instances. Four causes, found with profiles and counts by kind of call: 1. overload made probes fail, each suspicion and refutation was spread eagerly, and that kept the overload up: a loop that fed itself; 2. whole tables were swapped whenever digests differed, which in a storm is always; 3. connect compressed every small answer (26% of the processor time), and 64 idle connections a daemon ran out of descriptors at 200 daemons; 4. a delivery's delta waited behind a slower fetch of the same content, and a late background fetch went to the platform for content no longer needed.

Change: news that calls depend on is spread at once with a rest that grows with the fleet; suspicions travel with probes, need an indirect probe first, and a daemon whose probes fail doubts itself; whole tables are spaced out; small messages go uncompressed; deltas are taken first.

--- /dev/null
+++ b/daemon/bench_test.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"figwheel/platform/platformtest"
+	"figwheel/settings"
+)
+
+const (
+	benchSites    = 7
+	benchServices = 140
+	benchChanges  = 10
+	quietTime     = 10 * time.Second
+)
+
+func benchSizes() []int { return []int{10, 50, 100, 200} }
+
+func (f *fleet) controlBytes() int64 {
+	var n int64
+	for _, d := range f.daemons {
+		in, out := d.ControlBytes()
+		n += in + out
+	}
+	return n
+}
+
+// used returns the processor time of this process so far.
+func used() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func startBenchFleet(b *testing.B, n int) *fleet {
+	f := &fleet{t: b, store: &platformtest.Store{}, stageLimit: settings.Duration(30 * time.Second)}
+	f.startAll(benchSites, n)
+	f.announce("s-0")
+	if p := last(f.submit(0, "first", bundle(benchSites, benchServices, 0))); p.step != stepInForce {
+		b.Fatalf("%s %v", p.step, p.err)
+	}
+	f.serving(1)
+	f.wait("all agree", func() bool {
+		var d uint64
+		f.ask(0, func(c *control) bool { d = c.table.Digest(); return true })
+		return f.all(func(c *control) bool { return c.table.Digest() == d })
+	})
+	return f
+}
+
+// BenchmarkConverge measures how long accepted changes take to be served by
+// every daemon, and what carrying them costs.
+func BenchmarkConverge(b *testing.B) {
+	for _, n := range benchSizes() {
+		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
+			for range b.N {
+				converge(b, n)
+			}
+		})
+	}
+}
+
+func converge(b *testing.B, n int) {
+	f := startBenchFleet(b, n)
+	time.Sleep(time.Second)
+	var took []time.Duration
+	var whole time.Duration
+	w, c := f.controlBytes(), f.store.Counts().Calls()
+	for i := range benchChanges {
+		t := time.Now()
+		took = append(took, f.change(uint64(i+2))...)
+		whole += time.Since(t)
+	}
+	bytes := float64(f.controlBytes() - w)
+	slices.Sort(took)
+	ms := func(q float64) float64 {
+		return float64(took[min(len(took)-1, int(q*float64(len(took))))].Microseconds()) / 1000
+	}
+	b.ReportMetric(ms(0.5), "converge-p50-ms")
+	b.ReportMetric(ms(0.99), "converge-p99-ms")
+	b.ReportMetric(ms(1), "converge-max-ms")
+	b.ReportMetric(float64(whole.Microseconds())/1000/benchChanges, "submit-ms")
+	b.ReportMetric(bytes/benchChanges/float64(n), "change-B/instance")
+	b.ReportMetric(float64(f.store.Counts().Calls()-c)/benchChanges, "platform-calls/change")
+	f.close()
+}
+
+// change submits version n and returns how long after acceptance each daemon
+// served it. Each daemon's view is polled: that is what calls read.
+func (f *fleet) change(n uint64) []time.Duration {
+	f.t.Helper()
+	accepted := make(chan time.Time, 1)
+	seen := make(chan time.Time, len(f.daemons))
+	for _, d := range f.daemons {
+		go func() {
+			for d.View().Snapshot.Number() < n {
+				time.Sleep(200 * time.Microsecond)
+			}
+			seen <- time.Now()
+		}()
+	}
+	s := submission{id: fmt.Sprintf("change-%d", n), bundle: bundle(benchSites, benchServices, int(n)), began: time.Now()}
+	ended := make(chan progress, 1)
+	go func() {
+		var end progress
+		f.daemons[int(n)%len(f.daemons)].submit(context.Background(), s, func(p progress) {
+			end = p
+			if p.step == stepAccepted {
+				accepted <- time.Now()
+			}
+		})
+		ended <- end
+	}()
+	t := <-accepted
+	var r []time.Duration
+	for range f.daemons {
+		r = append(r, max(0, (<-seen).Sub(t)))
+	}
+	if p := <-ended; p.step != stepInForce {
+		f.t.Fatalf("%s %v", p.step, p.err)
+	}
+	slices.SortFunc(r, cmp.Compare[time.Duration])
+	return r
+}
+
+// BenchmarkQuiet measures what daemons cost while nothing changes.
+func BenchmarkQuiet(b *testing.B) {
+	for _, n := range benchSizes() {
+		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
+			for range b.N {
+				quiet(b, n)
+			}
+		})
+	}
+}
+
+func quiet(b *testing.B, n int) {
+	f := startBenchFleet(b, n)
+	time.Sleep(3 * time.Second)
+	w, c, u := f.controlBytes(), f.store.Counts().Calls(), used()
+	t := time.Now()
+	time.Sleep(quietTime)
+	s := time.Since(t).Seconds()
+	k := float64(n)
+	b.ReportMetric(float64(f.controlBytes()-w)/s/k, "control-B/instance/s")
+	b.ReportMetric(float64(f.store.Counts().Calls()-c)/s, "platform-calls/s")
+	b.ReportMetric((used()-u).Seconds()/s/k*100, "core-%/instance")
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapInuse+m.StackInuse)/k/(1<<20), "heap-MB/instance")
+	f.close()
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -19,9 +19,11 @@
 
 // Times of the control loop.
 const (
-	tickTime  = 250 * time.Millisecond
-	probeTime = time.Second
-	eagerTime = 5 * time.Millisecond
+	tickTime     = 250 * time.Millisecond
+	probeTime    = time.Second
+	eagerTime    = 5 * time.Millisecond // in which news gathers before it is spread
+	eagerRestMin = 50 * time.Millisecond
+	eagerRest    = time.Millisecond // between two spreads, for each instance of the fleet
 )
 
 // control is the state that the control goroutine owns.
@@ -53,6 +55,8 @@
 
 	probed     time.Time
 	mismatches int
+	fullAt     time.Time
+	known      map[string]instance.Signature
 	eager      bool
 	dirty      bool
 	changed    chan struct{}
@@ -77,6 +81,7 @@
 			State:       instance.Starting,
 		}, n),
 		links:     make(map[string]*link.Peer),
+		known:     make(map[string]instance.Signature),
 		contents:  make(map[string]*content),
 		fetching:  make(map[string]bool),
 		answered:  make(map[string]bool),
@@ -94,8 +99,10 @@
 	defer close(done)
 	k := time.NewTicker(tickTime)
 	defer k.Stop()
-	e := time.NewTimer(0)
+	e := time.NewTimer(eagerTime)
 	defer e.Stop()
+	var spread time.Time // when news was last spread
+	pending := false     // whether it is about to be
 	c.start(c.d.boot)
 	for x.Err() == nil {
 		select {
@@ -105,14 +112,17 @@
 		case <-k.C:
 			c.tick(c.d.now())
 		case <-e.C:
+			spread = c.d.now()
+			pending = false
 			c.spreadNews()
 		case <-c.ended:
 			c.running--
 		}
-		if c.eager {
-			c.eager = false
-			e.Reset(eagerTime)
+		if c.eager && !pending {
+			pending = true
+			e.Reset(max(eagerTime, spread.Add(c.rest()).Sub(c.d.now())))
 		}
+		c.eager = false
 		c.publish()
 	}
 	close(c.d.stopped)
@@ -149,6 +159,14 @@
 	c.tendProposal(now)
 }
 
+// rest returns the time between two spreads of news. A herd that returns makes
+// as much news as there are instances and all of them pass it on; the rest
+// bounds what that costs each of them, whatever the size of the fleet. A single
+// piece of news finds everybody rested and crosses the fleet at once.
+func (c *control) rest() time.Duration {
+	return max(eagerRestMin, eagerRest*time.Duration(c.table.Count()))
+}
+
 // news marks that the view is out of date and that others should hear why.
 func (c *control) news() {
 	c.eager = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	closing  atomic.Bool
 	requests chan func(*control)
 	stopped  chan struct{}
+	killed   chan struct{}
 	contents singleflight.Group
 	metrics  *metric.Set
 	draws    atomic.Uint64
@@ -67,6 +68,7 @@
 		seed:     o.Seed,
 		requests: make(chan func(*control)),
 		stopped:  make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	if d.log == nil {
 		d.log = slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,204 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"figwheel/instance"
+	"figwheel/platform"
+	"figwheel/platform/platformtest"
+	"figwheel/settings"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+// fleet is a number of real daemons on loopback in this process, with one
+// stand-in of the platform. Workers are announced but nothing calls them.
+type fleet struct {
+	t       testing.TB
+	store   *platformtest.Store
+	wrap    func(name string) platform.Store
+	daemons []*Daemon
+
+	stageLimit settings.Duration
+	stops      []context.CancelFunc
+	ended      []chan error
+}
+
+const testWait = 30 * time.Second
+
+func newFleet(t testing.TB, sites, instances int) *fleet {
+	f := &fleet{t: t, store: &platformtest.Store{}}
+	f.startAll(sites, instances)
+	return f
+}
+
+func (f *fleet) startAll(sites, instances int) {
+	f.t.Cleanup(f.close)
+	for i := range instances {
+		f.add(settings.Settings{
+			Instance: fmt.Sprintf("i-%03d", i),
+			Site:     fmt.Sprintf("site-%d", i%sites),
+
+			StageLimit: f.stageLimit,
+		})
+	}
+	f.wait("all know each other", func() bool { return f.all(func(c *control) bool { return len(c.table.Live()) == instances }) })
+}
+
+// add starts a daemon, on any addresses unless the settings have them.
+func (f *fleet) add(s settings.Settings) {
+	f.daemons = append(f.daemons, nil)
+	f.stops = append(f.stops, nil)
+	f.ended = append(f.ended, nil)
+	for _, a := range []*string{&s.CallAddress, &s.LinkAddress, &s.PeerAddress, &s.UpstreamAddress, &s.OperatorAddress} {
+		if *a == "" {
+			*a = "127.0.0.1:0"
+		}
+	}
+	if s.StageLimit == 0 {
+		s.StageLimit = settings.Duration(3 * time.Second)
+	}
+	s.DrainLimit = settings.Duration(2 * time.Second)
+	f.start(len(f.daemons)-1, s)
+}
+
+func (f *fleet) start(i int, s settings.Settings) {
+	f.t.Helper()
+	var p platform.Store = f.store
+	if f.wrap != nil {
+		p = f.wrap(s.Instance)
+	}
+	l := slog.New(slog.DiscardHandler)
+	if os.Getenv("FIGWHEEL_TEST_LOG") != "" {
+		l = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	d, err := New(Options{Settings: s, Store: p, Now: time.Now, Seed: uint64(i + 1), Log: l})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	x, stop := context.WithCancel(context.Background())
+	f.daemons[i] = d
+	f.stops[i] = stop
+	f.ended[i] = make(chan error, 1)
+	go func() { f.ended[i] <- d.Run(x) }()
+}
+
+// stop lets a daemon leave.
+func (f *fleet) stop(i int) {
+	f.stops[i]()
+	if err := <-f.ended[i]; err != nil {
+		f.t.Error(err)
+	}
+	f.stops[i] = nil
+}
+
+// kill ends a daemon at once, as a crash would: no drain, no farewell.
+func (f *fleet) kill(i int) {
+	f.daemons[i].kill()
+	f.stop(i)
+}
+
+func (f *fleet) close() {
+	var w []int
+	for i := range f.stops {
+		if f.stops[i] != nil {
+			f.daemons[i].kill()
+			f.stops[i]()
+			w = append(w, i)
+		}
+	}
+	for _, i := range w {
+		<-f.ended[i]
+		f.stops[i] = nil
+	}
+}
+
+// all tells whether ok holds in every running daemon.
+func (f *fleet) all(ok func(c *control) bool) bool {
+	for i := range f.daemons {
+		if f.stops[i] != nil && !f.ask(i, ok) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) ask(i int, ok func(c *control) bool) bool {
+	var r bool
+	err := f.daemons[i].do(context.Background(), func(c *control) { r = ok(c) })
+	return err == nil && r
+}
+
+// wait waits until ok holds; the test fails if it takes too long.
+func (f *fleet) wait(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(testWait); !ok(); {
+		if time.Now().After(end) {
+			f.t.Fatalf("not within %s: %s", testWait, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// serving waits until every running daemon serves the version n.
+func (f *fleet) serving(n uint64) {
+	f.t.Helper()
+	f.wait(fmt.Sprintf("all serve version %d", n), func() bool {
+		return f.all(func(c *control) bool { return c.serving.Number() == n })
+	})
+}
+
+// announce makes every worker one of the service. Its announcement does not
+// lapse: it counts as made at the end of the test.
+func (f *fleet) announce(service string) {
+	for _, d := range f.daemons {
+		d.announced(upstream.Announcement{Service: service, Address: "127.0.0.1:1", State: instance.Ready.String()}, time.Now().Add(time.Hour))
+	}
+}
+
+// submit submits at daemon i and returns the steps without repetition.
+func (f *fleet) submit(i int, id string, b site.Bundle) []progress {
+	return f.submission(i, submission{id: id, submitter: "linh", bundle: b, began: time.Now()})
+}
+
+func (f *fleet) submission(i int, s submission) []progress {
+	var r []progress
+	f.daemons[i].submit(context.Background(), s, func(p progress) {
+		if len(r) == 0 || r[len(r)-1].step != p.step {
+			r = append(r, p)
+		}
+	})
+	return r
+}
+
+func last(p []progress) progress { return p[len(p)-1] }
+
+// bundle returns files with that many sites and services; the edition makes
+// their content differ.
+func bundle(sites, services, edition int) site.Bundle {
+	var b strings.Builder
+	var n []string
+	for i := range sites {
+		n = append(n, fmt.Sprintf("site-%d", i))
+	}
+	_, _ = fmt.Fprintf(&b, "# edition %d\nOrganisation: test\nSites: [%s]\nServices:\n", edition, strings.Join(n, ", "))
+	for i := range services {
+		_, _ = fmt.Fprintf(&b, "  s-%d:\n    Deadline: %dms\n    Slots: 9\n    Connections: 120\n    NotIdempotent:\n      - Methods: [POST]\n        Path: /orders-%d\n", i, 1000+(edition+i)%7, i)
+	}
+	b.WriteString("Routes:\n")
+	for i := range services {
+		_, _ = fmt.Fprintf(&b, "  r-%d:\n    Host: h-%d.example\n    PathPrefix: /\n    Service: s-%d\n", i, i, i)
+	}
+	r := site.Bundle{Base: site.File{Name: "base.yaml", Text: b.String()}}
+	for _, s := range slices.Sorted(slices.Values(n)) {
+		r.Overlays = append(r.Overlays, site.File{Name: s + ".yaml", Text: fmt.Sprintf("Site: %s\nServices:\n  s-0:\n    Queue: 30\n", s)})
+	}
+	return r
+}
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -14,38 +14,73 @@
 const (
 	exchangeTime  = time.Second
 	eagerPeers    = 3
+	indirectPeers = 3
 	mismatchesMax = 3
+	fullTime      = 5 * time.Second // between two swaps of the whole table
 )
 
-// exchange probes an instance and swaps news with it. A silent one becomes
-// suspected at the incarnation that was probed.
+// exchange probes an instance and swaps news with it. When it does not answer,
+// others are asked to try; only if none of them reaches it is it suspected, at
+// the incarnation that was probed.
 func (c *control) exchange(name, address string, incarnation uint64) {
 	q := c.exchangeRequest()
+	t := exchangeTime * time.Duration(c.table.Patience())
 	c.start(func(x context.Context) {
-		y, stop := context.WithTimeout(x, exchangeTime)
-		defer stop()
-		p, err := c.d.peers.Exchange(y, address, q)
-		_ = c.d.do(x, func(c *control) {
-			if err != nil {
-				c.failed(name, incarnation)
-				return
-			}
-			c.exchanged(name, p)
-		})
+		p, err := c.d.ask(x, t, address, q)
+		if err == nil {
+			_ = c.d.do(x, func(c *control) { c.exchanged(name, p) })
+			return
+		}
+		if incarnation > 0 && !c.d.probeIndirectly(x, t, name, address) {
+			_ = c.d.do(x, func(c *control) { c.failed(name, incarnation) })
+		}
 	})
 }
 
+// ask swaps news with the daemon at the address within the time t.
+func (d *Daemon) ask(x context.Context, t time.Duration, address string, q *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	x, stop := context.WithTimeout(x, t)
+	defer stop()
+	return d.peers.Exchange(x, address, q)
+}
+
+// probeIndirectly tells whether any of a few others reaches the daemon at the
+// address, which is then cut off from this one and not dead.
+func (d *Daemon) probeIndirectly(x context.Context, t time.Duration, name, address string) bool {
+	var l []instance.Record
+	var q *peerpb.ExchangeRequest
+	err := d.do(x, func(c *control) {
+		l = c.table.Some(c.random, indirectPeers, name)
+		q = c.exchangeRequest()
+		q.ProbeAddress = address
+	})
+	if err != nil {
+		return true // nothing is known of it: this daemon is stopping
+	}
+	done := make(chan bool, len(l))
+	for _, r := range l {
+		go func() {
+			p, err := d.ask(x, 2*t, r.PeerAddress, q)
+			done <- err == nil && p.GetProbed()
+		}()
+	}
+	ok := false
+	for range l {
+		ok = <-done || ok
+	}
+	return ok
+}
+
 // exchangeRequest returns what goes to the next peer: the whole table when
 // digests have differed for a while, the news otherwise.
 func (c *control) exchangeRequest() *peerpb.ExchangeRequest {
 	q := &peerpb.ExchangeRequest{
 		From:   c.d.settings.Instance,
 		Digest: c.table.Digest(),
-		Full:   c.mismatches >= mismatchesMax || !c.joined(),
+		Full:   c.wantsFull(c.d.now()),
 		Head:   peer.FromHead(c.head),
 	}
 	if q.Full {
-		c.mismatches = 0
 		q.News = peer.FromRecords(c.table.All())
 		return q
 	}
@@ -53,17 +88,31 @@
 	return q
 }
 
+// wantsFull tells whether to swap whole tables. In a storm digests differ all
+// the time, and whole tables would feed it: they are spaced out.
+func (c *control) wantsFull(now time.Time) bool {
+	if !c.joined() {
+		return true
+	}
+	if c.mismatches < mismatchesMax || now.Before(c.fullAt) {
+		return false
+	}
+	c.mismatches = 0
+	c.fullAt = now.Add(fullTime/2 + time.Duration(c.random.Int64N(int64(fullTime))))
+	return true
+}
+
 // joined tells whether this daemon knows any other.
-func (c *control) joined() bool { return len(c.table.Live()) > 1 }
+func (c *control) joined() bool { return c.table.Count() > 1 }
 
 func (c *control) failed(name string, incarnation uint64) {
 	for range c.table.Failed(name, incarnation, c.d.now()) {
 		c.d.event(c.x, event.InstanceSuspected, slog.String("Name", name))
-		c.news()
 	}
 }
 
 func (c *control) exchanged(name string, p *peerpb.ExchangeResponse) {
+	c.table.Answered()
 	c.absorb(peer.ToRecords(p.GetNews()))
 	if name != "" {
 		c.answered[name] = true
@@ -79,18 +128,21 @@
 	c.advance()
 }
 
-// absorb takes in news of instances and passes on what was new.
+// absorb takes in news of instances. What calls or changes depend on is passed
+// on at once; suspicions and their refutations travel with the probes, or they
+// would feed the very overload that caused them.
 func (c *control) absorb(l []instance.Record) {
 	s := c.table.Self()
-	f := c.table.Merge(l, c.d.now())
-	for _, r := range f {
+	for _, r := range c.table.Merge(l, c.d.now()) {
 		if r.Name == s.Name {
 			c.d.event(c.x, event.RefutedSuspicion)
 			continue
 		}
+		if old, ok := c.known[r.Name]; ok && old == r.Signature() {
+			continue
+		}
+		c.known[r.Name] = r.Signature()
 		c.d.event(c.x, event.InstanceChanged, slog.String("Name", r.Name), slog.String("State", r.State.String()), slog.Int("Health", int(r.Health)))
-	}
-	if len(f) > 0 {
 		c.news()
 	}
 }
@@ -106,8 +158,17 @@
 // Exchange implements peerpb.PeerServiceHandler.
 func (d *Daemon) Exchange(x context.Context, q *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
 	var p *peerpb.ExchangeResponse
-	err := d.do(x, func(c *control) { p = c.answer(q) })
-	return p, err
+	var n *peerpb.ExchangeRequest
+	err := d.do(x, func(c *control) {
+		p = c.answer(q)
+		n = c.exchangeRequest()
+	})
+	if err != nil || q.GetProbeAddress() == "" {
+		return p, err
+	}
+	_, err = d.ask(x, exchangeTime, q.GetProbeAddress(), n)
+	p.Probed = err == nil
+	return p, nil
 }
 
 func (c *control) answer(q *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"figwheel/change"
 	"figwheel/event"
@@ -13,6 +14,14 @@
 	"figwheel/site"
 )
 
+const (
+	fetchTime   = 10 * time.Second // bounds how long a content is looked for
+	wantTime    = time.Second      // within which a delivery brings it
+	fetchPeers  = 2                // asked in each round
+	fetchRounds = 3                // before the platform is asked
+	fetchWait   = 100 * time.Millisecond
+)
+
 // observe takes in a head. Heads have one order, so that late, repeated and
 // crossed ones change nothing; it tells whether h was news.
 func (c *control) observe(h change.Head) bool {
@@ -47,11 +56,11 @@
 // content is here and fetches what is missing.
 func (c *control) advance() {
 	if c.target.Number > c.serving.Number() {
-		c.want(c.target.Content)
+		c.want(c.target.Content, c.serving != nil)
 		c.activate()
 	}
 	if c.head.HasProposal() {
-		c.want(c.head.Proposed.Content)
+		c.want(c.head.Proposed.Content, true)
 	}
 }
 
@@ -88,50 +97,60 @@
 }
 
 // want fetches a content in the background unless it is here or on its way.
-func (c *control) want(hash string) {
+// With later it leaves a delivery the time to bring it: everybody asking as
+// soon as news of a proposal is about would be a herd.
+func (c *control) want(hash string, later bool) {
 	if c.contents[hash] != nil || c.fetching[hash] {
 		return
 	}
 	c.fetching[hash] = true
+	var w time.Duration
+	if later {
+		w = wantTime + time.Duration(c.random.Int64N(int64(wantTime)))
+	}
 	c.start(func(x context.Context) {
-		_, _ = c.d.content(x, hash, "", nil)
+		needed := false
+		if pause(x, w) {
+			_ = c.d.do(x, func(c *control) { needed = c.needs(hash) })
+		}
+		if needed {
+			_, _ = c.d.content(x, hash, "", nil)
+		}
 		_ = c.d.do(x, func(c *control) { delete(c.fetching, hash) })
 	})
 }
 
+// needs tells whether the content is still to be served or staged.
+func (c *control) needs(hash string) bool {
+	return hash == c.target.Content && c.target.Number > c.serving.Number() || hash == c.head.Proposed.Content
+}
+
 // content returns the content of that hash: from memory, by the delta of q,
 // from the daemon at the address from, from other peers, or from the platform.
 // Requests for one hash at a time share the work.
 func (d *Daemon) content(x context.Context, hash, from string, q *peerpb.DeliverRequest) (*content, error) {
 	var k *content
-	var near []string
-	err := d.do(x, func(c *control) {
-		k = c.contents[hash]
-		for _, r := range c.table.Some(c.random, 2, "") {
-			near = append(near, r.PeerAddress)
-		}
-	})
+	err := d.do(x, func(c *control) { k = c.contents[hash] })
 	if err != nil || k != nil {
 		return k, err
 	}
-	if from != "" {
-		near = append([]string{from}, near...)
+	// What one request fetches the others wait for: its end must not stop it.
+	y, stop := context.WithTimeout(context.WithoutCancel(x), fetchTime)
+	defer stop()
+	// A delta is here already. It must not wait for a slower way that another
+	// request for the same content has taken.
+	if b, ok := d.byDelta(y, hash, q); ok {
+		return d.install(y, hash, b)
 	}
-	v, err, _ := d.contents.Do(hash, func() (any, error) { return d.fetch(x, hash, near, q) })
+	v, err, _ := d.contents.Do(hash, func() (any, error) { return d.fetch(y, hash, from) })
 	if err != nil {
 		return nil, err
 	}
 	return v.(*content), nil
 }
 
-func (d *Daemon) fetch(x context.Context, hash string, near []string, q *peerpb.DeliverRequest) (*content, error) {
-	b, ok := d.byDelta(x, hash, q)
-	for _, a := range near {
-		if ok {
-			break
-		}
-		b, ok = d.fromPeer(x, a, hash)
-	}
+func (d *Daemon) fetch(x context.Context, hash, from string) (*content, error) {
+	b, ok := d.fromPeers(x, hash, from)
 	if !ok {
 		p, err := platform.GetContent(x, d.store, hash)
 		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
@@ -140,6 +159,11 @@
 		}
 		b = p
 	}
+	return d.install(x, hash, b)
+}
+
+// install compiles a content and hands it to the control goroutine.
+func (d *Daemon) install(x context.Context, hash string, b []byte) (*content, error) {
 	k := d.compile(hash, b)
 	d.event(x, event.ContentFetched, slog.String("Content", hash), slog.Int("Bytes", len(b)))
 	return k, d.do(x, func(c *control) {
@@ -148,6 +172,33 @@
 	})
 }
 
+// fromPeers asks the daemon at the address from, then a few others some times:
+// content spreads among peers within a round trip or two.
+func (d *Daemon) fromPeers(x context.Context, hash, from string) ([]byte, bool) {
+	if from != "" {
+		if b, ok := d.fromPeer(x, from, hash); ok {
+			return b, true
+		}
+	}
+	for range fetchRounds {
+		var near []string
+		_ = d.do(x, func(c *control) {
+			for _, r := range c.table.Some(c.random, fetchPeers, "") {
+				near = append(near, r.PeerAddress)
+			}
+		})
+		for _, a := range near {
+			if b, ok := d.fromPeer(x, a, hash); ok {
+				return b, true
+			}
+		}
+		if len(near) == 0 || !pause(x, fetchWait) {
+			break
+		}
+	}
+	return nil, false
+}
+
 func (d *Daemon) byDelta(x context.Context, hash string, q *peerpb.DeliverRequest) ([]byte, bool) {
 	if len(q.GetDelta()) == 0 || q.GetDeltaContent() != hash {
 		return nil, false
@@ -187,7 +238,7 @@
 		k.refusal = result.Wrap(result.BadValue, err, "content %s", hash)
 		return k
 	}
-	g, p := site.Check(f, d.now())
+	g, p := site.CheckSite(f, d.settings.Site)
 	if len(p) > 0 {
 		k.refusal = result.New(p[0].Code, "%s", p[0])
 		return k
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,11 +144,14 @@
 	go c.loop(y, done)
 	s := d.serve()
 	d.event(y, event.Started, slog.String("Site", d.settings.Site), slog.String("CallAddress", d.settings.CallAddress), slog.String("OperatorAddress", d.settings.OperatorAddress))
-	<-x.Done()
-	d.leave(y, s)
+	select {
+	case <-x.Done():
+		d.leave(y, s)
+	case <-d.killed:
+	}
 	stop()
 	<-done
-	for _, v := range s.control {
+	for _, v := range slices.Concat(s.work, s.control) {
 		_ = v.Close()
 	}
 	d.peers.Close()
@@ -201,3 +205,6 @@
 		<-sent
 	}
 }
+
+// kill ends the daemon without leaving, as a crash does.
+func (d *Daemon) kill() { close(d.killed) }
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -181,6 +181,19 @@
 	return n, d.writeHead(x, o, n)
 }
 
+// whole returns the configuration of all sites; daemons keep that of their own.
+func whole(k *content, now time.Time) (site.Configuration, error) {
+	b, err := site.DecodeBundle(k.data)
+	if err != nil {
+		return site.Configuration{}, result.Wrap(result.NotReady, err, "content %s", k.hash)
+	}
+	f, p := site.Check(b, now)
+	if len(p) > 0 && p[0].Code != result.NoCommonBreak {
+		return f, result.New(result.NotReady, "the files in force: %s", p[0])
+	}
+	return f, nil
+}
+
 // proposal fills in what the head in force says about the submission: the
 // sites that it changes, and whether those are in a break.
 func (d *Daemon) proposal(x context.Context, t *draft, h change.Head) (change.Proposal, error) {
@@ -197,7 +210,9 @@
 		if err != nil {
 			return p, result.Wrap(result.NotReady, err, "version %d cannot be read", h.InForce.Number)
 		}
-		f = k.config
+		if f, err = whole(k, t.began); err != nil {
+			return p, err
+		}
 	}
 	for _, s := range f.Diff(t.config) {
 		p.Sites = append(p.Sites, s.Site)
--- a/instance/record.go
+++ b/instance/record.go
@@ -48,6 +48,23 @@
 	return r.Service == service && r.State == Ready && r.Health != Dead
 }
 
+// Signature is the part of a record that others act on.
+type Signature struct {
+	Site        string
+	PeerAddress string
+	LinkAddress string
+	Service     string
+	State       State
+	Dead        bool
+	Slots       uint32
+}
+
+// Signature returns what others act on; a suspicion or a new incarnation alone
+// does not change it.
+func (r Record) Signature() Signature {
+	return Signature{r.Site, r.PeerAddress, r.LinkAddress, r.Service, r.State, r.Health == Dead, r.Slots}
+}
+
 // WithState returns the record at the next incarnation with the state s.
 func (r Record) WithState(s State) Record {
 	r.State = s
--- a/instance/table.go
+++ b/instance/table.go
@@ -17,6 +17,9 @@
 	ForgetTime      = 10 * time.Minute
 	newsMax         = 40
 	repeatPerDouble = 2
+
+	doubtMax   = 5 // of failed probes that count against this daemon
+	doubtTrust = 3 // up to which its suspicions are news
 )
 
 type entry struct {
@@ -30,8 +33,10 @@
 type Table struct {
 	self    string
 	entries map[string]*entry
-	order   []string
+	names   []string // of entries, in order
+	order   []string // of probes
 	next    int
+	doubt   int
 }
 
 // New returns the table of the instance that the record describes.
@@ -61,6 +66,8 @@
 	if !ok {
 		e = &entry{}
 		t.entries[r.Name] = e
+		i, _ := slices.BinarySearch(t.names, r.Name)
+		t.names = slices.Insert(t.names, i, r.Name)
 	}
 	e.record = r
 	e.changed = now
@@ -105,7 +112,7 @@
 func (t *Table) Probe(r *rand.Rand) (Record, bool) {
 	for range len(t.entries) + 1 {
 		if t.next >= len(t.order) {
-			t.order = t.names()
+			t.order = slices.Clone(t.names)
 			r.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 			t.next = 0
 		}
@@ -121,19 +128,31 @@
 	return Record{}, false
 }
 
-// Failed notes that the instance did not answer at the incarnation i and
-// returns the suspicion as news.
+// Answered notes that a probe was answered in time.
+func (t *Table) Answered() { t.doubt = max(0, t.doubt-1) }
+
+// Failed notes that the instance did not answer at the incarnation i, neither
+// directly nor to others that were asked to try, and returns the suspicion as
+// news. A daemon whose probes fail one after the other doubts itself first:
+// while it is slow, everybody looks dead to it.
 func (t *Table) Failed(name string, i uint64, now time.Time) []Record {
 	e, ok := t.entries[name]
 	if !ok || name == t.self || e.record.Incarnation != i || e.record.Health != Alive {
 		return nil
 	}
+	t.doubt = min(t.doubt+1, doubtMax)
+	if t.doubt > doubtTrust {
+		return nil
+	}
 	r := e.record
 	r.Health = Suspect
 	t.put(r, now)
 	return []Record{r}
 }
 
+// Patience returns by what to multiply the time that a probe may take.
+func (t *Table) Patience() int { return 1 + t.doubt }
+
 // Expire turns suspicions that were not refuted in time into deaths, which it
 // returns, and forgets who is gone for long.
 func (t *Table) Expire(now time.Time) []Record {
@@ -142,13 +161,14 @@
 		a := now.Sub(e.changed)
 		switch {
 		case n == t.self:
-		case e.record.Health == Suspect && a >= SuspicionTime:
+		case e.record.Health == Suspect && a >= SuspicionTime*time.Duration(t.Patience()):
 			r := e.record
 			r.Health = Dead
 			t.put(r, now)
 			d = append(d, r)
 		case !e.record.Live() && a >= ForgetTime:
 			delete(t.entries, n)
+			t.names = slices.DeleteFunc(t.names, func(m string) bool { return m == n })
 		}
 	}
 	return d
@@ -178,12 +198,23 @@
 // All returns every record in the order of the names.
 func (t *Table) All() []Record {
 	r := make([]Record, 0, len(t.entries))
-	for _, n := range t.names() {
+	for _, n := range t.names {
 		r = append(r, t.entries[n].record)
 	}
 	return r
 }
 
+// Count returns how many instances are live.
+func (t *Table) Count() int {
+	var n int
+	for _, e := range t.entries {
+		if e.record.Live() {
+			n++
+		}
+	}
+	return n
+}
+
 // Live returns the records that a change has to wait for.
 func (t *Table) Live() []Record {
 	return slices.DeleteFunc(t.All(), func(r Record) bool { return !r.Live() })
@@ -217,10 +248,41 @@
 // Some returns up to k live instances other than this one and skip, at
 // random.
 func (t *Table) Some(r *rand.Rand, k int, skip string) []Record {
-	l := t.Live()
-	l = slices.DeleteFunc(l, func(m Record) bool { return m.Name == t.self || m.Name == skip })
-	r.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	return l[:min(k, len(l))]
+	var l []Record
+	n := len(t.names)
+	if n == 0 {
+		return nil
+	}
+	// A random start and a random step that has no factor in common with n
+	// visit every name once without a copy of them all.
+	i, s := r.IntN(n), step(r, n)
+	for range n {
+		m := t.entries[t.names[i]].record
+		if m.Live() && m.Name != t.self && m.Name != skip {
+			l = append(l, m)
+		}
+		if len(l) == k {
+			break
+		}
+		i = (i + s) % n
+	}
+	return l
+}
+
+func step(r *rand.Rand, n int) int {
+	for {
+		s := 1 + r.IntN(n)
+		if gcd(s, n) == 1 {
+			return s
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 // Rank returns the place of name among the live instances of a site when they
@@ -248,12 +310,3 @@
 }
 
 func weight(key, name string) uint64 { return xxh3.HashStringSeed(name, xxh3.HashString(key)) }
-
-func (t *Table) names() []string {
-	r := make([]string, 0, len(t.entries))
-	for n := range t.entries {
-		r = append(r, n)
-	}
-	slices.Sort(r)
-	return r
-}
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,8 +14,12 @@
 const (
 	dialTime        = 500 * time.Millisecond
 	idlePerAddress  = 2
-	idleAll         = 64
+	idleAll         = 2 * Fanout // probes go to all others in turn: few connections are met again
 	messageBytesMax = 16 << 20
+
+	// compressBytesMin is the size from which a message is compressed: below
+	// it, setting up the compressor costs more than all the rest.
+	compressBytesMin = 4 << 10
 )
 
 // Client calls other daemons by their peer address.
@@ -34,7 +38,7 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 func (c *Client) at(address string) peerpb.PeerServiceClient {
-	return peerpb.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(messageBytesMax))
+	return peerpb.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin))
 }
 
 // Deliver carries a head to the daemon at the address and the tree below it.
@@ -58,5 +62,5 @@
 
 // NewHandler returns the path and the handler of the service s.
 func NewHandler(s peerpb.PeerServiceHandler) (string, http.Handler) {
-	return peerpb.NewPeerServiceHandler(s, connect.WithReadMaxBytes(messageBytesMax))
+	return peerpb.NewPeerServiceHandler(s, connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin))
 }
--- a/site/check.go
+++ b/site/check.go
@@ -25,24 +25,39 @@
 // order of the files; the configuration is usable only without any. The time
 // now is where the search for a common break starts.
 func Check(b Bundle, now time.Time) (Configuration, []Problem) {
+	r, base, c := check(b, func(string) bool { return true })
+	if len(c.problems) == 0 {
+		r.checkBreaks(now, base, &c)
+	}
+	return r, sortProblems(c.problems)
+}
+
+// CheckSite is Check for what one site serves: the configuration lists all
+// sites and has only that one. Its cost does not grow with the sites.
+func CheckSite(b Bundle, site string) (Configuration, []Problem) {
+	r, _, c := check(b, func(n string) bool { return n == site })
+	return r, sortProblems(c.problems)
+}
+
+func check(b Bundle, wanted func(site string) bool) (Configuration, layer, checker) {
 	d := decoder{file: b.Base.Name}
 	base := d.base(b.Base.Text)
-	var c checker
-	c.problems = d.problems
+	c := checker{problems: d.problems}
 	overlays := decodeOverlays(b, base, &c)
+	r := Configuration{organisation: base.organisation.V, merged: make(map[string]merged)}
 	if len(c.problems) > 0 {
-		return Configuration{}, sortProblems(c.problems)
+		return r, base, c
 	}
-	r := Configuration{organisation: base.organisation.V, merged: make(map[string]merged)}
-	for _, n := range base.sites.V {
+	r.sites = slices.Sorted(slices.Values(base.sites.V))
+	for _, n := range r.sites {
+		if !wanted(n) {
+			continue
+		}
 		m := merge(n, base, overlays[n], &c)
 		m.check(&c)
-		r.sites = append(r.sites, n)
 		r.merged[n] = m
 	}
-	slices.Sort(r.sites)
-	r.checkBreaks(now, base, &c)
-	return r, sortProblems(c.problems)
+	return r, base, c
 }
 
 func decodeOverlays(b Bundle, base layer, c *checker) map[string]layer {
@@ -69,15 +84,19 @@
 	for _, n := range sorted(m.services) {
 		m.services[n].check(n, m.site, c)
 	}
-	names := sorted(m.routes)
-	for i, n := range names {
+	type place struct{ host, prefix string }
+	same := make(map[place][]Route)
+	for _, n := range sorted(m.routes) {
 		r := m.routes[n]
 		r.check(n, m, c)
-		for _, o := range names[:i] {
-			if r.compile(n).clashes(m.routes[o].compile(o)) {
-				c.fail(r.at, result.ShadowedRoute, "route %s matches what route %s at %s matches, and neither is more specific, at site %s", n, o, m.routes[o].at, m.site)
+		t := r.compile(n)
+		p := place{t.Host, t.PathPrefix}
+		for _, o := range same[p] {
+			if t.clashes(o) {
+				c.fail(r.at, result.ShadowedRoute, "route %s matches what route %s at %s matches, and neither is more specific, at site %s", n, o.Name, m.routes[o.Name].at, m.site)
 			}
 		}
+		same[p] = append(same[p], t)
 	}
 }
 
--- a/site/merge.go
+++ b/site/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"regexp"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
@@ -95,8 +94,18 @@
 	return l
 }
 
+const nameBytesMax = 63
+
 func validName(s string) bool {
-	return regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`).MatchString(s)
+	if s == "" || len(s) > nameBytesMax || s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
 }
 
 // merged is the configuration of one site with the source of each value.
