Merge returns what others act on: a restarted instance is in every view at once

Cause: in the demo a restarted daemon took 7 s to get calls again. A map of signatures beside the table was not told of deaths and departures, so an instance that came back as it was before looked like no news and no view was rebuilt. Change: the table itself compares the record it replaces. Conclusion: one owner for what is known, no second copy.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -56,7 +56,6 @@
 	probed     time.Time
 	mismatches int
 	fullAt     time.Time
-	known      map[string]instance.Signature
 	eager      bool
 	dirty      bool
 	changed    chan struct{}
@@ -81,7 +80,6 @@
 			State:       instance.Starting,
 		}, n),
 		links:     make(map[string]*link.Peer),
-		known:     make(map[string]instance.Signature),
 		contents:  make(map[string]*content),
 		fetching:  make(map[string]bool),
 		answered:  make(map[string]bool),
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -115,7 +115,9 @@
 		}
 	}
 	for _, i := range w {
-		<-f.ended[i]
+		if err := <-f.ended[i]; err != nil {
+			f.t.Error(err)
+		}
 		f.stops[i] = nil
 	}
 }
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -138,10 +138,6 @@
 			c.d.event(c.x, event.RefutedSuspicion)
 			continue
 		}
-		if old, ok := c.known[r.Name]; ok && old == r.Signature() {
-			continue
-		}
-		c.known[r.Name] = r.Signature()
 		c.d.event(c.x, event.InstanceChanged, slog.String("Name", r.Name), slog.String("State", r.State.String()), slog.Int("Health", int(r.Health)))
 		c.news()
 	}
--- a/demo/changes.go
+++ b/demo/changes.go
@@ -7,7 +7,6 @@
 	"strings"
 	"syscall"
 
-	"figwheel/examples"
 	"figwheel/operator"
 	"figwheel/operator/operatorpb"
 	"figwheel/site"
@@ -110,6 +109,3 @@
 	}
 	return o, demoError.Wrap(s.Err())
 }
-
-// kindsOf returns the requests of a deployment, for its callers.
-func kindsOf(d examples.Deployment) []kind { return scriptOf(d.Name).kinds }
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -182,7 +183,9 @@
 	}
 	_ = m.server.Close()
 	for range m.running {
-		<-m.ended
+		if err := <-m.ended; !errors.Is(err, http.ErrServerClosed) {
+			g.Add(err)
+		}
 	}
 	return g.Err()
 }
--- a/instance/table.go
+++ b/instance/table.go
@@ -74,8 +74,8 @@
 	e.repeats = repeatPerDouble * bits.Len(uint(len(t.entries)))
 }
 
-// Merge takes in news and returns the records that were new. News that is
-// late, repeated or crossed changes nothing. A dead record of an unknown
+// Merge takes in news and returns the records by which something changed that
+// others act on. News that is late, repeated or crossed changes nothing. A dead record of an unknown
 // instance is not taken: it would come back from daemons that forgot it last.
 func (t *Table) Merge(news []Record, now time.Time) []Record {
 	var r []Record
@@ -90,8 +90,10 @@
 		if !ok && n.Health == Dead || ok && !n.newer(e.record) {
 			continue
 		}
+		if !ok || e.record.Signature() != n.Signature() {
+			r = append(r, n)
+		}
 		t.put(n, now)
-		r = append(r, n)
 	}
 	return r
 }
