--- /dev/null
+++ b/instance/table_test.go
@@ -0,0 +1,201 @@
+package instance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/instance"
+)
+
+var start = time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+
+func record(name string, i uint64) instance.Record {
+	return instance.Record{Name: name, Incarnation: i, Site: "a", Service: "s", State: instance.Ready}
+}
+
+func table(others ...instance.Record) *instance.Table {
+	t := instance.New(record("self", 5), start)
+	t.Merge(others, start)
+	return t
+}
+
+func show(r instance.Record) string {
+	return fmt.Sprintf("%s@%d %s %d", r.Name, r.Incarnation, r.State, r.Health)
+}
+
+func shows(l []instance.Record) []string {
+	r := []string{}
+	for _, v := range l {
+		r = append(r, show(v))
+	}
+	return r
+}
+
+func with(r instance.Record, s instance.State, h instance.Health) instance.Record {
+	r.State, r.Health = s, h
+	return r
+}
+
+// TestMerge gives one piece of news after the other and checks what is
+// believed and whether others should act on it.
+func TestMerge(t *testing.T) {
+	b := record("b", 3)
+	cases := []struct {
+		name string
+		news instance.Record
+		acts bool
+		want string
+	}{
+		{"the same again", b, false, "b@3 Ready 0"},
+		{"an older incarnation", with(record("b", 2), instance.Draining, instance.Alive), false, "b@3 Ready 0"},
+		{"suspected", with(b, instance.Ready, instance.Suspect), false, "b@3 Ready 1"},
+		{"dead", with(b, instance.Ready, instance.Dead), true, "b@3 Ready 2"},
+		{"refuted", record("b", 4), false, "b@4 Ready 0"},
+		{"leaving", with(record("b", 4), instance.Draining, instance.Alive), true, "b@4 Draining 0"},
+		{"an unknown one", record("c", 1), true, "b@3 Ready 0"},
+		{"an unknown one that is dead", with(record("c", 1), instance.Ready, instance.Dead), false, "b@3 Ready 0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k := table(b)
+			l := k.Merge([]instance.Record{c.news}, start)
+			r, _, _ := k.Get("b")
+			if show(r) != c.want || (len(l) > 0) != c.acts {
+				t.Errorf("got %s, acts %v; want %s %t", show(r), shows(l), c.want, c.acts)
+			}
+		})
+	}
+}
+
+func TestRefutesNewsOfItself(t *testing.T) {
+	k := table()
+	for _, n := range []instance.Record{
+		with(record("self", 5), instance.Ready, instance.Suspect),
+		with(record("self", 9), instance.Left, instance.Dead), // of an earlier life, by a clock that ran ahead
+		record("self", 2),
+	} {
+		k.Merge([]instance.Record{n}, start)
+	}
+	if d := cmp.Diff("self@10 Ready 0", show(k.Self())); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+// TestDeath follows an instance that falls silent, and one that was only
+// paused.
+func TestDeath(t *testing.T) {
+	k := table(record("b", 3), record("c", 3))
+	k.Failed("b", 3, start)
+	k.Failed("c", 3, start)
+	k.Failed("c", 2, start) // a late answer about an earlier incarnation
+	if d := cmp.Diff([]string{}, shows(k.Expire(start.Add(instance.SuspicionTime)))); d != "" {
+		t.Errorf("after two failures this daemon is in doubt and waits longer (-want +got)\n%s", d)
+	}
+	k.Merge([]instance.Record{record("c", 4)}, start.Add(time.Second))
+	k.Answered()
+	k.Answered()
+	if d := cmp.Diff([]string{"b@3 Ready 2"}, shows(k.Expire(start.Add(instance.SuspicionTime)))); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	if d := cmp.Diff([]string{"c@4 Ready 0", "self@5 Ready 0"}, shows(k.Live())); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	k.Expire(start.Add(instance.ForgetTime * 2))
+	if d := cmp.Diff([]string{"c@4 Ready 0", "self@5 Ready 0"}, shows(k.All())); d != "" {
+		t.Errorf("forgotten (-want +got)\n%s", d)
+	}
+	k.Merge([]instance.Record{with(record("b", 4), instance.Ready, instance.Alive)}, start)
+	if r, _, _ := k.Get("b"); show(r) != "b@4 Ready 0" {
+		t.Errorf("it came back as %s", show(r))
+	}
+}
+
+// TestDoubtsItself lets every probe fail, as they do in a daemon that is
+// itself paused or cut off.
+func TestDoubtsItself(t *testing.T) {
+	var l []instance.Record
+	for i := range 50 {
+		l = append(l, record(fmt.Sprintf("i-%02d", i), 1))
+	}
+	k := table(l...)
+	var n int
+	for _, r := range l {
+		n += len(k.Failed(r.Name, 1, start))
+	}
+	if n > 3 {
+		t.Errorf("%d of 50 suspected", n)
+	}
+	if k.Patience() < 5 {
+		t.Errorf("patience %d", k.Patience())
+	}
+}
+
+// TestProbesEveryoneInARound checks that no instance waits for more than two
+// rounds to be probed.
+func TestProbesEveryoneInARound(t *testing.T) {
+	k := table(record("b", 1), record("c", 1), with(record("d", 1), instance.Left, instance.Alive))
+	r := rand.New(rand.NewPCG(1, 1))
+	got := make(map[string]int)
+	for range 20 {
+		m, _ := k.Probe(r)
+		got[m.Name]++
+	}
+	if d := cmp.Diff(map[string]int{"b": 10, "c": 10}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+func TestDigest(t *testing.T) {
+	a, b := table(record("b", 1), record("c", 2)), table(record("c", 2), record("b", 1))
+	if a.Digest() != b.Digest() {
+		t.Error("the order of news changed the digest")
+	}
+	b.Merge([]instance.Record{record("b", 2)}, start)
+	if a.Digest() == b.Digest() {
+		t.Error("another incarnation left the digest as it was")
+	}
+}
+
+// TestRankHandsOverOnlyWhatIsLost checks that a death moves ranks only behind
+// the dead, so that watchers stay where they are.
+func TestRankHandsOverOnlyWhatIsLost(t *testing.T) {
+	var l []instance.Record
+	for i := range 20 {
+		l = append(l, record(fmt.Sprintf("i-%02d", i), 1))
+	}
+	k := table(l...)
+	before := make(map[string]int)
+	for _, r := range k.Live() {
+		before[r.Name] = k.Rank("a", "watch", r.Name)
+	}
+	k.Merge([]instance.Record{with(l[7], instance.Ready, instance.Dead)}, start)
+	for n, v := range before {
+		want := v
+		switch {
+		case n == "i-07":
+			want = -1
+		case v > before["i-07"]:
+			want = v - 1
+		}
+		if g := k.Rank("a", "watch", n); g != want {
+			t.Errorf("%s: rank %d, want %d", n, g, want)
+		}
+	}
+}
+
+func TestSome(t *testing.T) {
+	k := table(record("b", 1), record("c", 1), record("d", 1), with(record("e", 1), instance.Ready, instance.Dead))
+	for i := range 100 {
+		got := make(map[string]bool)
+		for _, r := range k.Some(rand.New(rand.NewPCG(uint64(i), 1)), 3, "d") {
+			got[r.Name] = true
+		}
+		if d := cmp.Diff(map[string]bool{"b": true, "c": true}, got); d != "" {
+			t.Fatalf("(-want +got)\n%s", d)
+		}
+	}
+}
--- a/site/decode.go
+++ b/site/decode.go
@@ -1,12 +1,14 @@
 package site
 
 import (
+	"errors"
 	"fmt"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
 
+	yamlerrors "github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
 	"go.yaml.in/yaml/v3"
 
 	"figwheel/result"
@@ -28,7 +30,7 @@
 func (d *decoder) root(text string) *yaml.Node {
 	var n yaml.Node
 	if err := yaml.Unmarshal([]byte(text), &n); err != nil {
-		d.problems = append(d.problems, Problem{Code: result.Syntax, At: d.syntaxPosition(err), Text: err.Error()})
+		d.problems = append(d.problems, d.syntax(text, err))
 		return nil
 	}
 	if len(n.Content) == 0 {
@@ -38,13 +40,17 @@
 	return n.Content[0]
 }
 
-// syntaxPosition takes the line out of the library's text, the only place
-// that has it.
-func (d *decoder) syntaxPosition(err error) Position {
-	p := Position{File: d.file, Line: 1, Column: 1}
-	m := regexp.MustCompile(`line (\d+)`).FindStringSubmatch(err.Error())
-	if m != nil {
-		p.Line, _ = strconv.Atoi(m[1])
+// syntax returns the problem of a text that is not YAML. The lines that the
+// decoding library gives are off by one for some errors; another parser knows
+// line and column.
+func (d *decoder) syntax(text string, err error) Problem {
+	p := Problem{Code: result.Syntax, At: Position{File: d.file, Line: 1, Column: 1}, Text: err.Error()}
+	_, e := parser.ParseBytes([]byte(text), 0)
+	var s *yamlerrors.SyntaxError
+	if errors.As(e, &s) && s.GetToken() != nil {
+		p.At.Line = s.GetToken().Position.Line
+		p.At.Column = s.GetToken().Position.Column
+		p.Text = "yaml: " + s.GetMessage()
 	}
 	return p
 }
