Changes under faults: coordinator killed at each step, paused holder, outages

Cause of the fault found: nobody ever finished a change whose coordinator had died. Rank among all instances compared the site of each with an empty name, so that no daemon was first. Ruled out: the watch (daemons knew of the proposal) and the verdict.

Tests: the coordinator is killed before and after each write of the head; it is paused before accepting, with the fence and, to show what the fence is for, without (a refused change then comes into force); boot with the platform out, with and without peers; news by traffic; a site gone; kills during a change.

--- a/change/decide.go
+++ b/change/decide.go
@@ -56,9 +56,11 @@
 		m[i].InForce += a.InForce
 	}
 	slices.SortFunc(m, func(a, b Ack) int { return cmp.Compare(a.Site, b.Site) })
+	f := slices.Concat(r.Refusals, o.Refusals)
+	slices.SortFunc(f, func(a, b Refusal) int { return cmp.Compare(a.Instance, b.Instance) })
 	return Report{
 		Acks:      m,
-		Refusals:  slices.Concat(r.Refusals, o.Refusals),
+		Refusals:  f,
 		Behind:    slices.Concat(r.Behind, o.Behind),
 		Unreached: slices.Concat(r.Unreached, o.Unreached),
 	}
--- /dev/null
+++ b/daemon/fault_test.go
@@ -0,0 +1,333 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"figwheel/change"
+	"figwheel/platform"
+	"figwheel/platform/platformtest"
+	"figwheel/result"
+	"figwheel/settings"
+)
+
+// hookedStore calls before and after around the writes of one daemon.
+type hookedStore struct {
+	platform.Store
+	mu     sync.Mutex
+	heads  int // writes of the head so far
+	before func(key string, head int)
+	after  func(key string, head int)
+}
+
+func (s *hookedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+	s.mu.Lock()
+	if key == change.HeadKey {
+		s.heads++
+	}
+	n := s.heads
+	s.mu.Unlock()
+	if s.before != nil {
+		s.before(key, n)
+	}
+	o, err := s.Store.Put(x, key, version, value)
+	if s.after != nil {
+		s.after(key, n)
+	}
+	return o, err
+}
+
+func (f *fleet) head() change.Head {
+	f.t.Helper()
+	o, err := f.store.Get(context.Background(), change.HeadKey)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h, err := change.DecodeHead(o.Value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return h
+}
+
+// TestCoordinatorKilled kills the daemon that coordinates a change at each of
+// its steps. Whatever the platform then holds is what all the others come to
+// serve, and a resubmission at another daemon learns it.
+func TestCoordinatorKilled(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name          string
+		before, after int // write of the head at which it is killed
+	}{
+		{name: "before it proposes", before: 1},
+		{name: "after it proposed", after: 1},
+		{name: "before it accepts", before: 2},
+		{name: "after it accepted", after: 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fleet{t: t, store: &platformtest.Store{}, stageLimit: settings.Duration(15 * time.Second)}
+			var once sync.Once
+			kill := func(key string, n, at int) {
+				if key == change.HeadKey && n == at {
+					once.Do(func() { f.daemons[0].kill() })
+					<-f.daemons[0].stopped // the write after this is that of a dead daemon
+				}
+			}
+			f.wrap = func(name string) platform.Store {
+				if name != "i-000" {
+					return f.store
+				}
+				return &hookedStore{
+					Store:  deadStore{f.store, func() bool { return isClosed(f.daemons[0].killed) }},
+					before: func(k string, n int) { kill(k, n, c.before) },
+					after:  func(k string, n int) { kill(k, n, c.after) },
+				}
+			}
+			f.startAll(2, 5)
+			b := bundle(2, 2, 1)
+			f.submit(0, "c1", b)
+			f.stop(0)
+			p := last(f.submit(1, "c1", b))
+			if p.step != stepInForce || p.number != 1 {
+				t.Fatalf("sent again: %s %v", p.step, p.err)
+			}
+			f.serving(1)
+			if h := f.head(); h.InForce.Number != 1 || h.HasProposal() {
+				t.Errorf("head %+v", h)
+			}
+		})
+	}
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// deadStore refuses the writes of a dead daemon: this process cannot end one
+// of its goroutines, so that what a crash would not do must not be done.
+type deadStore struct {
+	platform.Store
+	dead func() bool
+}
+
+func (s deadStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+	if s.dead() {
+		return platform.Object{}, result.New(result.PlatformUnavailable, "dead")
+	}
+	return s.Store.Put(x, key, version, value)
+}
+
+// TestFinishedByOthers kills the coordinator after it proposed, and nobody
+// sends the change again: the others finish it by themselves.
+func TestFinishedByOthers(t *testing.T) {
+	t.Parallel()
+	f := &fleet{t: t, store: &platformtest.Store{}, stageLimit: settings.Duration(15 * time.Second)}
+	f.wrap = func(name string) platform.Store {
+		if name != "i-000" {
+			return f.store
+		}
+		return &hookedStore{
+			Store: deadStore{f.store, func() bool { return isClosed(f.daemons[0].killed) }},
+			after: func(k string, n int) {
+				if k == change.HeadKey && n == 1 {
+					f.daemons[0].kill()
+					<-f.daemons[0].stopped
+				}
+			},
+		}
+	}
+	f.startAll(2, 6)
+	f.submit(0, "c1", bundle(2, 2, 1))
+	f.stop(0)
+	f.serving(1)
+	if h := f.head(); h.InForce.ChangeID != "c1" {
+		t.Errorf("head %+v", h)
+	}
+}
+
+// unfencedStore writes under whatever version the object has: what a lease
+// without a fence would do.
+type unfencedStore struct{ platform.Store }
+
+func (s unfencedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+	if key == change.HeadKey {
+		if o, err := s.Get(x, key); err == nil {
+			version = o.Version
+		}
+	}
+	return s.Store.Put(x, key, version, value)
+}
+
+// TestPausedCoordinator pauses the coordinator before it accepts a change,
+// until the others have refused it for its deadline and accepted another. Its
+// late write must not bring the refused change into force. The second case
+// shows what the fence is for: without it the late write does just that.
+func TestPausedCoordinator(t *testing.T) {
+	t.Parallel()
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fenced=%t", fenced), func(t *testing.T) {
+			t.Parallel()
+			f := &fleet{t: t, store: &platformtest.Store{}}
+			resume := make(chan struct{})
+			f.wrap = func(name string) platform.Store {
+				if name != "i-000" {
+					return f.store
+				}
+				var s platform.Store = f.store
+				if !fenced {
+					s = unfencedStore{f.store}
+				}
+				return &hookedStore{Store: s, before: func(k string, n int) {
+					if k == change.HeadKey && n == 2 {
+						<-resume
+					}
+				}}
+			}
+			f.startAll(2, 4)
+			paused := make(chan progress, 1)
+			go func() { paused <- last(f.submit(0, "paused", bundle(2, 2, 1))) }()
+			f.wait("the change is refused", func() bool {
+				o, err := f.store.Get(context.Background(), change.HeadKey)
+				if err != nil {
+					return false
+				}
+				h, _ := change.DecodeHead(o.Value)
+				u, ok := h.Outcome("paused")
+				return ok && u.Code == result.DeadlinePassed
+			})
+			if p := last(f.submit(1, "other", bundle(2, 2, 2))); p.step != stepInForce {
+				t.Fatalf("%s %v", p.step, p.err)
+			}
+			close(resume)
+			p := <-paused
+			h := f.head()
+			if kept := h.InForce.ChangeID == "other" && p.step == stepRefused; kept != fenced {
+				t.Errorf("fenced %t: %s is in force, the paused coordinator says %s %v", fenced, h.InForce.ChangeID, p.step, p.err)
+			}
+		})
+	}
+}
+
+// TestBootWithoutPlatform restarts daemons while the platform is out. They
+// serve the version in force again, learned from their peers, or nothing.
+func TestBootWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 5)
+	for i := range 3 {
+		if p := last(f.submit(i, fmt.Sprintf("c%d", i), bundle(2, 2, i))); p.step != stepInForce {
+			t.Fatal(p.step, p.err)
+		}
+	}
+	f.store.SetFaults(platformtest.Faults{Down: true})
+	var seeds []string
+	for _, d := range f.daemons {
+		seeds = append(seeds, d.Settings().PeerAddress)
+	}
+	s := f.daemons[4].Settings()
+	s.Seeds = seeds
+	f.kill(4)
+	f.start(4, s)
+	f.serving(3)
+
+	// All of them: no platform and no peer that knows. They say that they are
+	// not ready, and go on once the platform is back.
+	for i := range f.daemons {
+		f.kill(i)
+	}
+	for i := range f.daemons {
+		s := f.daemons[i].Settings()
+		s.Seeds = seeds
+		f.start(i, s)
+	}
+	f.wait("all know each other", func() bool { return f.all(func(c *control) bool { return c.table.Count() == 5 }) })
+	if !f.all(func(c *control) bool { return c.serving == nil }) {
+		t.Error("something is served that nobody can know of")
+	}
+	f.store.SetFaults(platformtest.Faults{})
+	f.serving(3)
+}
+
+// TestTrafficCarriesNews lets a daemon that has staged a release see another
+// one serve it: it activates it at once. A release that it does not know to be
+// proposed does not count.
+func TestTrafficCarriesNews(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1)
+	if p := last(f.submit(0, "c1", bundle(1, 1, 1))); p.step != stepInForce {
+		t.Fatal(p.step, p.err)
+	}
+	d := f.daemons[0]
+	b, err := bundle(1, 1, 2).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := platform.PutContent(context.Background(), f.store, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := change.Release{Number: 2, Content: h, ChangeID: "c2"}
+	d.take(context.Background(), change.Head{Sequence: 100, InForce: f.head().InForce, Proposed: change.Proposal{Release: r, Deadline: time.Now().Add(time.Hour)}}, nil)
+	for _, c := range []struct {
+		release string
+		want    uint64
+	}{{"", 1}, {"x-" + h, 1}, {"9-" + h, 1}, {"2-0123", 1}, {"2-" + h, 2}, {"1-" + h, 2}} {
+		d.Seen(c.release)
+		if n := d.View().Snapshot.Number(); n != c.want {
+			t.Errorf("after %q version %d is served, want %d", c.release, n, c.want)
+		}
+	}
+}
+
+// TestSiteGone kills a whole site: a change is refused for it, and nothing
+// changes anywhere; once a daemon of the site is back, a change passes.
+func TestSiteGone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 4)
+	if p := last(f.submit(0, "c1", bundle(2, 2, 1))); p.step != stepInForce {
+		t.Fatal(p.step, p.err)
+	}
+	f.kill(1)
+	f.kill(3)
+	p := last(f.submit(0, "c2", bundle(2, 2, 2)))
+	if p.step != stepRefused || p.err.Code != result.SiteUnreachable && p.err.Code != result.DeadlinePassed {
+		t.Errorf("%s %v", p.step, p.err)
+	}
+	f.serving(1)
+	f.start(1, f.daemons[1].Settings())
+	f.serving(1)
+	if p := last(f.submit(0, "c3", bundle(2, 2, 3))); p.step != stepInForce {
+		t.Errorf("%s %v", p.step, p.err)
+	}
+	f.serving(2)
+}
+
+// TestKilledDuringChange kills one instance in five while a change is staged:
+// the dead do not hold it up for longer than it takes to know that they are.
+func TestKilledDuringChange(t *testing.T) {
+	t.Parallel()
+	f := &fleet{t: t, store: &platformtest.Store{}, stageLimit: 0}
+	f.startAll(2, 10)
+	if p := last(f.submit(0, "c1", bundle(2, 2, 1))); p.step != stepInForce {
+		t.Fatal(p.step, p.err)
+	}
+	f.kill(8)
+	f.kill(9)
+	q := f.submission(0, submission{id: "c2", bundle: bundle(2, 2, 2), began: time.Now()})
+	if p := last(q); p.step != stepInForce && p.step != stepRefused {
+		t.Errorf("%s %v", p.step, p.err)
+	}
+	f.wait("the dead are known", func() bool { return f.all(func(c *control) bool { return c.table.Count() == 8 }) })
+	if p := last(f.submit(1, "c3", bundle(2, 2, 3))); p.step != stepInForce {
+		t.Errorf("%s %v", p.step, p.err)
+	}
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -172,7 +172,17 @@
 
 func (f *fleet) submission(i int, s submission) []progress {
 	var r []progress
-	f.daemons[i].submit(context.Background(), s, func(p progress) {
+	x, stop := context.WithCancel(context.Background())
+	defer stop()
+	d := f.daemons[i]
+	go func() {
+		select {
+		case <-d.stopped: // nothing outlives its daemon
+			stop()
+		case <-x.Done():
+		}
+	}()
+	d.submit(x, s, func(p progress) {
 		if len(r) == 0 || r[len(r)-1].step != p.step {
 			r = append(r, p)
 		}
--- a/daemon/session_test.go
+++ b/daemon/session_test.go
@@ -237,4 +237,3 @@
 		s.say("%s", t)
 	}
 }
-
--- a/instance/table.go
+++ b/instance/table.go
@@ -287,13 +287,14 @@
 	return a
 }
 
-// Rank returns the place of name among the live instances of a site when they
-// are ordered by rendezvous hashing of key, or -1.
+// Rank returns the place of name among the live instances of a site, or of all
+// sites for an empty one, when they are ordered by rendezvous hashing of key;
+// it is -1 for one that is not live there.
 func (t *Table) Rank(site, key, name string) int {
 	own, rank := weight(key, name), 0
 	found := false
 	for n, e := range t.entries {
-		if !e.record.Live() || e.record.Site != site {
+		if !e.record.Live() || site != "" && e.record.Site != site {
 			continue
 		}
 		if n == name {
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -173,6 +173,9 @@
 		before[r.Name] = k.Rank("a", "watch", r.Name)
 	}
 	k.Merge([]instance.Record{with(l[7], instance.Ready, instance.Dead)}, start)
+	if a, b := k.Rank("", "watch", "i-03"), k.Rank("b", "watch", "i-03"); a < 0 || b >= 0 {
+		t.Errorf("rank %d among all, %d at another site", a, b)
+	}
 	for n, v := range before {
 		want := v
 		switch {
