Calls under failing workers: never sent twice by net/http, no late body reads

Cause 1: net/http sends a request again by itself when a reused connection breaks, if its body is empty and it is a GET or carries an Idempotency-Key: exactly the charges that must run once. Cause 2: the transport reads a streamed body even after the handler returned, which net/http answers with a panic of the connection (seen twice in TestFailures: 'invalid concurrent Body.Read call'). Each attempt now has a reader of its own that is stopped before the handler goes on. Ruled out: chunking an empty POST to the same end, which made the next daemon take it for a stream.

Tests: ten ways in which a worker fails, five refusals, attempts elsewhere, streaming both ways with trailers over HTTP/1.1 and h2c, hanging up, slots.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,501 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/caller"
+	"figwheel/contract"
+	"figwheel/hop"
+	"figwheel/link"
+	"figwheel/result"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+const base = `
+Organisation: o
+Sites: [a]
+Services:
+  s:
+    Deadline: 500ms
+    Slots: 2
+    Connections: 4
+    Queue: 1
+    RetryPercent: 100
+    NotIdempotent: [{Methods: [POST, GET], Path: /once}]
+Routes:
+  r: {Host: h.example, PathPrefix: /, Service: s}
+`
+
+// node is a daemon's call path without its control: the two handlers and the
+// worker beside them.
+type node struct {
+	view    atomic.Pointer[caller.View]
+	worker  upstream.Worker
+	seen    atomic.Pointer[string]
+	call    *httptest.Server
+	link    *httptest.Server
+	closing atomic.Bool
+}
+
+func (n *node) View() *caller.View { return n.view.Load() }
+func (n *node) Seen(r string)      { n.seen.Store(&r) }
+func (n *node) Closing() bool      { return n.closing.Load() }
+
+func start(t testing.TB, h http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(h)
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s.Config.Protocols = p
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newNode(t testing.TB) *node {
+	n := &node{}
+	n.view.Store(caller.NewView(nil, nil))
+	tr := hop.NewTransport(0, time.Second)
+	t.Cleanup(tr.CloseIdleConnections)
+	n.call = start(t, &caller.Handler{Daemon: n, Worker: &n.worker, Transport: tr, Now: time.Now, Random: &sync.Pool{New: func() any { return rand.New(rand.NewPCG(1, 1)) }}})
+	n.link = start(t, &caller.LinkHandler{Daemon: n, Worker: &n.worker, Now: time.Now})
+	return n
+}
+
+func snapshot(t testing.TB, number uint64) *site.Snapshot {
+	t.Helper()
+	f, p := site.Check(site.Bundle{Base: site.File{Name: "base.yaml", Text: base}}, time.Time{})
+	if len(p) > 0 {
+		t.Fatal(p)
+	}
+	s, err := f.Snapshot("a", number, "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// mesh returns an entry node and one node for each worker address, which the
+// entry sends calls to in turn.
+func mesh(t testing.TB, workers ...string) (*node, []*node) {
+	e := newNode(t)
+	s := snapshot(t, 7)
+	v, _ := s.Service("s")
+	var l []link.Candidate
+	var r []*node
+	for i, a := range workers {
+		n := newNode(t)
+		n.view.Store(caller.NewView(s, nil))
+		n.worker.Set(upstream.Announcement{Service: "s", Address: a, State: "Ready"}, v, time.Now())
+		l = append(l, link.Candidate{Name: fmt.Sprint(i), Address: address(n.link), Slots: 2, SameSite: true, Peer: &link.Peer{}})
+		r = append(r, n)
+	}
+	e.view.Store(caller.NewView(s, map[string]link.Candidates{"s": link.NewCandidates(l)}))
+	return e, r
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func request(t testing.TB, n *node, method, path string, body io.Reader) *http.Request {
+	t.Helper()
+	q, err := http.NewRequestWithContext(context.Background(), method, n.call.URL+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	return q
+}
+
+// got is what a caller is told.
+type got struct {
+	Status  int
+	Outcome string
+	Code    string
+	Body    string
+	Cut     bool
+}
+
+func send(t testing.TB, q *http.Request) got {
+	t.Helper()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	p, err := c.Do(q)
+	if err != nil {
+		return got{Cut: true}
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	g := got{Status: p.StatusCode, Outcome: p.Header.Get(contract.OutcomeHeader), Code: p.Header.Get(contract.CodeHeader), Cut: err != nil}
+	if g.Code == "" {
+		g.Body = string(b)
+	}
+	return g
+}
+
+// raw is a worker below HTTP: it counts requests and does with the connection
+// what f says.
+func raw(t testing.TB, runs *atomic.Int64, f func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, q.Body)
+				runs.Add(1)
+				f(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func refusing(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	return l.Addr().String()
+}
+
+// TestFailures brings about every way in which a worker fails a call and
+// checks what the caller is told and how often the request was run. Two
+// workers of the same kind stand behind two daemons.
+func TestFailures(t *testing.T) {
+	hang := func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }
+	crash := func(net.Conn) {}
+	short := func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+	}
+	chunk := func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+	}
+	junk := func(c net.Conn) { _, _ = io.WriteString(c, "what?\r\n\r\n") }
+	shed := func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nFigwheel-Code: FW3004\r\nFigwheel-Outcome: not-run\r\nContent-Length: 4\r\n\r\nshed")
+	}
+	cases := []struct {
+		name   string
+		worker func(net.Conn)
+		method string
+		path   string
+		want   got
+		runs   int64
+	}{
+		{"crashes, once", crash, "POST", "/once", got{Status: 502, Outcome: "unknown", Code: "FW3011"}, 1},
+		{"crashes, once by GET", crash, "GET", "/once", got{Status: 502, Outcome: "unknown", Code: "FW3011"}, 1},
+		{"crashes, idempotent", crash, "GET", "/", got{Status: 502, Outcome: "unknown", Code: "FW3011"}, 2},
+		{"hangs, once", hang, "POST", "/once", got{Status: 504, Outcome: "unknown", Code: "FW3005"}, 1},
+		{"hangs, idempotent", hang, "GET", "/", got{Status: 504, Outcome: "unknown", Code: "FW3005"}, 1},
+		{"answers short", short, "POST", "/once", got{Status: 502, Outcome: "unknown", Code: "FW3011"}, 1},
+		{"answers short in chunks", chunk, "GET", "/", got{Status: 200, Outcome: "run", Body: "half", Cut: true}, 1},
+		{"answers junk, once", junk, "POST", "/once", got{Status: 502, Outcome: "unknown", Code: "FW3011"}, 1},
+		{"sheds, with headers that are not its to send", shed, "POST", "/once", got{Status: 503, Outcome: "run", Body: "shed"}, 1},
+		{"refuses connections", nil, "POST", "/once", got{Status: 502, Outcome: "not-run", Code: "FW3006"}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			a, b := refusing(t), refusing(t)
+			if c.worker != nil {
+				a, b = raw(t, &runs, c.worker), raw(t, &runs, c.worker)
+			}
+			e, _ := mesh(t, a, b)
+			q := request(t, e, c.method, c.path, nil)
+			q.Header.Set("Idempotency-Key", "k") // net/http would send it again by itself
+			if d := cmp.Diff(c.want, send(t, q)); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+			if n := runs.Load(); n != c.runs {
+				t.Errorf("run %d times, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
+// TestRefusals are the calls that are refused before any worker sees them.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(e *node, q *http.Request)
+		want   got
+	}{
+		{"no configuration", func(e *node, _ *http.Request) { e.view.Store(caller.NewView(nil, nil)) }, got{Status: 503, Outcome: "not-run", Code: "FW3002"}},
+		{"no route", func(_ *node, q *http.Request) { q.Host = "other.example" }, got{Status: 404, Outcome: "not-run", Code: "FW3001"}},
+		{"no instance", func(e *node, _ *http.Request) { e.view.Store(caller.NewView(e.View().Snapshot, nil)) }, got{Status: 503, Outcome: "not-run", Code: "FW3003"}},
+		{"a deadline that is no number", func(_ *node, q *http.Request) { q.Header.Set(contract.DeadlineHeader, "soon") }, got{Status: 400, Outcome: "not-run", Code: "FW3014"}},
+		{"too deep", func(_ *node, q *http.Request) { q.Header.Set(contract.DepthHeader, "16") }, got{Status: 508, Outcome: "not-run", Code: "FW3009"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the worker was called") }))
+			t.Cleanup(w.Close)
+			e, _ := mesh(t, address(w))
+			q := request(t, e, "POST", "/once", nil)
+			c.change(e, q)
+			if d := cmp.Diff(c.want, send(t, q)); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
+// TestTriedElsewhere lets one of two daemons refuse: the call is proven not
+// run there and runs, once, at the other.
+func TestTriedElsewhere(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func(n *node)
+	}{
+		{"its worker is leaving", func(n *node) {
+			n.worker.Set(upstream.Announcement{Service: "s", Address: "127.0.0.1:1", State: "Left"}, nil, time.Now())
+		}},
+		{"its worker is of another service", func(n *node) {
+			n.worker.Set(upstream.Announcement{Service: "t", Address: "127.0.0.1:1", State: "Ready"}, nil, time.Now())
+		}},
+		{"it is gone", func(n *node) { n.link.Close() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			w := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				_, _ = io.Copy(w, r.Body)
+			}))
+			t.Cleanup(w.Close)
+			e, n := mesh(t, address(w), address(w))
+			c.fail(n[0])
+			for range 20 {
+				g := send(t, request(t, e, "POST", "/once", strings.NewReader("body")))
+				if d := cmp.Diff(got{Status: 200, Outcome: "run", Body: "body"}, g); d != "" {
+					t.Fatalf("(-want +got)\n%s", d)
+				}
+			}
+			if runs.Load() != 20 {
+				t.Errorf("%d runs of 20", runs.Load())
+			}
+		})
+	}
+}
+
+// TestPassesThrough checks what a call carries: headers, a streamed body in
+// both directions at once, trailers, over HTTP/1.1 and HTTP/2.
+func TestPassesThrough(t *testing.T) {
+	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w)
+		_ = c.EnableFullDuplex()
+		w.Header().Set("Trailer", "Sum")
+		w.Header().Set("X-Got", r.Header.Get("X-Sent")+" "+r.Header.Get("X-Hop")+" "+r.Host+" "+r.URL.RequestURI()+" "+r.Header.Get(contract.DepthHeader))
+		b := make([]byte, 8)
+		for {
+			n, err := r.Body.Read(b)
+			_, _ = w.Write(bytes.ToUpper(b[:n]))
+			_ = c.Flush()
+			if err != nil {
+				break
+			}
+		}
+		w.Header().Set("Sum", "of "+r.Trailer.Get("Count"))
+	}))
+	for _, v := range []int{1, 2} {
+		t.Run(fmt.Sprintf("HTTP/%d", v), func(t *testing.T) {
+			e, _ := mesh(t, address(w))
+			tr := &http.Transport{Protocols: new(http.Protocols)}
+			tr.Protocols.SetHTTP1(v == 1)
+			tr.Protocols.SetUnencryptedHTTP2(v == 2)
+			t.Cleanup(tr.CloseIdleConnections)
+			pr, pw := io.Pipe()
+			q := request(t, e, "POST", "/a%2Fb?c=d%20e", pr)
+			q.Header.Set("X-Sent", "x")
+			q.Trailer = http.Header{"Count": {"2"}}
+			if v == 1 {
+				q.Header.Set("X-Hop", "y")
+				q.Header.Set("Connection", "X-Hop")
+			}
+			go func() { _, _ = pw.Write([]byte("one")) }()
+			p, err := tr.RoundTrip(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = p.Body.Close() }()
+			b := make([]byte, 3)
+			if _, err := io.ReadFull(p.Body, b); err != nil || string(b) != "ONE" {
+				t.Fatalf("%q %v: the answer has to come while the request goes on", b, err)
+			}
+			go func() {
+				_, _ = pw.Write([]byte("two"))
+				_ = pw.Close()
+			}()
+			rest, err := io.ReadAll(p.Body)
+			if err != nil || string(rest) != "TWO" {
+				t.Errorf("%q %v", rest, err)
+			}
+			want := []string{"x  h.example /a%2Fb?c=d%20e 1", "of 2", "7"}
+			have := []string{p.Header.Get("X-Got"), p.Trailer.Get("Sum"), p.Header.Get(contract.VersionHeader)}
+			if d := cmp.Diff(want, have); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
+// TestCallerHangsUp checks that the worker's request ends and its slot is free
+// when the caller is gone.
+func TestCallerHangsUp(t *testing.T) {
+	ended := make(chan error, 1)
+	began := make(chan struct{})
+	w := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		ended <- r.Context().Err()
+	}))
+	t.Cleanup(w.Close)
+	e, n := mesh(t, address(w))
+	x, stop := context.WithCancel(context.Background())
+	q := request(t, e, "GET", "/", nil).WithContext(x)
+	failed := make(chan error, 1)
+	go func() {
+		p, err := http.DefaultClient.Do(q)
+		if err == nil {
+			_ = p.Body.Close()
+		}
+		failed <- err
+	}()
+	<-began
+	stop()
+	if err := <-failed; !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the worker's request did not end")
+	}
+	for end := time.Now().Add(5 * time.Second); n[0].worker.InFlight() > 0; {
+		if time.Now().After(end) {
+			t.Fatal("the slot is still taken")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSlots fills the two slots and the queue of the only worker: what does
+// not fit is refused at once, what fits is answered.
+func TestSlots(t *testing.T) {
+	release := make(chan struct{})
+	var now, peak atomic.Int64
+	w := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		peak.Store(max(peak.Load(), now.Add(1)))
+		<-release
+		now.Add(-1)
+	}))
+	t.Cleanup(w.Close)
+	e, n := mesh(t, address(w))
+	c := make(chan got)
+	const fit = 3
+	for range fit {
+		go func() { c <- send(t, request(t, e, "POST", "/once", nil)) }()
+	}
+	for end := time.Now().Add(5 * time.Second); n[0].worker.InFlight() < fit; {
+		if time.Now().After(end) {
+			t.Fatal("the slots did not fill")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if d := cmp.Diff(got{Status: 503, Outcome: "not-run", Code: "FW3004"}, send(t, request(t, e, "POST", "/once", nil))); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	close(release)
+	for range fit {
+		if g := <-c; g.Outcome != "run" {
+			t.Errorf("%+v", g)
+		}
+	}
+	if peak.Load() > 2 {
+		t.Errorf("%d at the worker at one time", peak.Load())
+	}
+}
+
+// TestNewsOfVersions checks that both daemons of a link learn of a newer
+// release that the other serves.
+func TestNewsOfVersions(t *testing.T) {
+	w := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(w.Close)
+	e, n := mesh(t, address(w))
+	n[0].view.Store(caller.NewView(snapshot(t, 8), nil))
+	send(t, request(t, e, "GET", "/", nil))
+	if a, b := e.seen.Load(), n[0].seen.Load(); a == nil || *a != "8-c" || b == nil || *b != "7-c" {
+		t.Errorf("entry saw %v, the daemon beside the worker %v", a, b)
+	}
+}
+
+func TestTableOfStatuses(t *testing.T) {
+	for _, e := range result.Table() {
+		if s := contract.Status(e.Code); e.Code/1000 == 3 && (s < 400 || s > 599) {
+			t.Errorf("%s has the status %d", e.Code, s)
+		}
+	}
+}
+
+// TestNotSentAgainOnAReusedConnection breaks a connection that served a request
+// before: net/http then sends some requests again by itself, which a request
+// that must not run twice must not be.
+func TestNotSentAgainOnAReusedConnection(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			var runs atomic.Int64
+			w := raw(t, &runs, func(c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					runs.Add(1) // run, and the answer lost
+				}
+			})
+			e, _ := mesh(t, w)
+			var have []string
+			for range 2 {
+				q := request(t, e, method, "/once", nil)
+				q.Header.Set("Idempotency-Key", "k")
+				have = append(have, send(t, q).Outcome)
+			}
+			if d := cmp.Diff([]string{"run", "unknown"}, have); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+			if n := runs.Load(); n != 2 {
+				t.Errorf("%d runs of 2 requests", n)
+			}
+		})
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -113,13 +113,10 @@
 	}
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
-	c.body, err = hop.NewBody(r)
+	c.body, err = hop.NewBody(w, r)
 	if err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
-	if c.body.Streams() {
-		_ = http.NewResponseController(w).EnableFullDuplex() // HTTP/2 always is
-	}
 	c.again = c.service.Idempotent(r.Method, r.URL.Path)
 	c.set = []hop.Field{
 		{Name: contract.DeadlineHeader, Value: contract.Remaining(now, d)},
@@ -127,6 +124,7 @@
 		{Name: contract.VersionHeader, Value: c.view.version},
 		{Name: contract.ReleaseHeader, Value: c.view.release},
 		{Name: contract.ServiceHeader, Value: c.service.Name},
+		{Name: contract.OnceHeader, Value: strconv.FormatBool(!c.again)},
 	}
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
 	return h.attempts(x, w, r, c)
@@ -168,11 +166,11 @@
 func (h *Handler) attempt(x context.Context, w http.ResponseWriter, r *http.Request, c *call, k *link.Candidate) hop.Result {
 	k.Peer.Begin()
 	if k.Local {
-		f := h.Worker.Serve(x, w, r, h.Now(), c.service.Name, c.body, c.set[:passedOn])
+		f := h.Worker.Serve(x, w, r, h.Now(), upstream.Request{Service: c.service.Name, Body: c.body, Once: !c.again, Set: c.set[:passedOn]})
 		k.Peer.End(strconv.Itoa(h.Worker.InFlight()))
 		return f
 	}
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Set: c.set}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Once: !c.again, Set: c.set}
 	f := p.Do(x, w, r, c.body)
 	k.Peer.End(f.Load)
 	if f.Release != "" && f.Release != c.view.release {
--- a/caller/link.go
+++ b/caller/link.go
@@ -42,13 +42,10 @@
 	if err != nil {
 		return hop.NotRun(result.BadDeadline, err.Error())
 	}
-	b, err := hop.NewBody(r)
+	b, err := hop.NewBody(w, r)
 	if err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
-	if b.Streams() {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
 	set := []hop.Field{
@@ -56,5 +53,10 @@
 		{Name: contract.DepthHeader, Value: r.Header.Get(contract.DepthHeader)},
 		{Name: contract.VersionHeader, Value: r.Header.Get(contract.VersionHeader)},
 	}
-	return h.Worker.Serve(x, w, r, now, r.Header.Get(contract.ServiceHeader), b, set)
+	return h.Worker.Serve(x, w, r, now, upstream.Request{
+		Service: r.Header.Get(contract.ServiceHeader),
+		Body:    b,
+		Once:    r.Header.Get(contract.OnceHeader) != "false",
+		Set:     set,
+	})
 }
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -49,6 +49,7 @@
 
 	ServiceHeader = "Figwheel-Service"
 	ReleaseHeader = "Figwheel-Release"
+	OnceHeader    = "Figwheel-Once"
 	LoadHeader    = "Figwheel-Load"
 
 	HeaderPrefix = "Figwheel-"
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -21,6 +22,7 @@
 	Transport http.RoundTripper
 	Address   string // host and port
 	Daemon    bool   // the next one is a daemon, whose Figwheel headers count
+	Once      bool   // the request must not run twice
 	Set       []Field
 }
 
@@ -49,7 +51,9 @@
 // Do sends r with the body b and passes the answer to w. An answer by which
 // the next daemon says that it did not run the request is not passed on.
 func (h Hop) Do(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) Result {
-	q := h.request(x, r, b)
+	d, stop := b.attempt()
+	defer stop()
+	q := h.request(x, r, d, b.length)
 	p, err := h.Transport.RoundTrip(q)
 	if err != nil {
 		return broken(x, err)
@@ -74,14 +78,14 @@
 	return f
 }
 
-func (h Hop) request(x context.Context, r *http.Request, b *Body) *http.Request {
+func (h Hop) request(x context.Context, r *http.Request, d io.ReadCloser, length int64) *http.Request {
 	q := &http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Scheme: "http", Host: h.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		Header:        make(http.Header, len(r.Header)+len(h.Set)),
 		Host:          r.Host,
-		Body:          b.reader(),
-		ContentLength: b.length,
+		Body:          d,
+		ContentLength: length,
 		Trailer:       r.Trailer,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
@@ -94,9 +98,31 @@
 	for _, f := range h.Set {
 		q.Header[f.Name] = []string{f.Value}
 	}
+	if h.Once {
+		keepOnce(q)
+	}
 	return q.WithContext(x)
 }
 
+// keepOnce keeps net/http from sending the request again by itself when the
+// connection breaks. It does that with an empty body, which it can repeat, for
+// methods that are usually idempotent and for requests with an idempotency
+// key, whatever the contract of the service says of them.
+func keepOnce(q *http.Request) {
+	for _, k := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if v, ok := q.Header[k]; ok {
+			delete(q.Header, k)
+			q.Header[strings.ToLower(k)] = v // the same on the wire, unseen by net/http
+		}
+	}
+	switch q.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		if q.Body == http.NoBody {
+			q.Body = keptReader{bytes.NewReader(nil)}
+		}
+	}
+}
+
 // broken classifies a hop without an answer. Only a connection that was never
 // made proves that the request did not run.
 func broken(x context.Context, err error) Result {
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -81,12 +81,20 @@
 // InFlight returns the requests at the worker and waiting for it.
 func (k *Worker) InFlight() int { return k.gate.InFlight() }
 
-// Serve passes a request of the service to the worker and its answer to w.
-// The deadline is that of the context x.
-func (k *Worker) Serve(x context.Context, w http.ResponseWriter, r *http.Request, now time.Time, service string, b *hop.Body, set []hop.Field) hop.Result {
+// Request is what the daemon knows of a request beyond what stands in it.
+type Request struct {
+	Service string
+	Body    *hop.Body
+	Once    bool        // it must not run twice
+	Set     []hop.Field // headers for the worker
+}
+
+// Serve passes a request to the worker and its answer to w. The deadline is
+// that of the context x.
+func (k *Worker) Serve(x context.Context, w http.ResponseWriter, r *http.Request, now time.Time, q Request) hop.Result {
 	s := k.state.Load()
-	if s == nil || s.Service != service {
-		return hop.NotRun(result.WrongService, "the worker here is not of service "+service)
+	if s == nil || s.Service != q.Service {
+		return hop.NotRun(result.WrongService, "the worker here is not of service "+q.Service)
 	}
 	if !s.takes(now) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
@@ -95,8 +103,8 @@
 		return hop.NotRun(c, "no slot of the worker became free")
 	}
 	defer k.gate.Leave()
-	h := hop.Hop{Transport: s.transport, Address: s.Address, Set: set}
-	f := h.Do(x, w, r, b)
+	h := hop.Hop{Transport: s.transport, Address: s.Address, Once: q.Once, Set: q.Set}
+	f := h.Do(x, w, r, q.Body)
 	if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
 		f.Code = result.ConnectFailed
 	}
