A herd that returns: join before acting, heal islands, larger news

Change: nobody acts for its site before it knows somebody or a random time has passed (the contenders' random delay of the related paper); watchers keep getting in touch with roster entries that they do not know to live; news holds 128 records, not 40; whole tables are swapped at a pace that follows their size. The list at boot is the part that still grows with the herd.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -18,6 +18,7 @@
 	benchSites    = 7
 	benchServices = 140
 	benchChanges  = 10
+	settleTime    = 8 * time.Second // for the news of the start to be passed on
 	quietTime     = 10 * time.Second
 )
 
@@ -47,11 +48,7 @@
 		b.Fatalf("%s %v", p.step, p.err)
 	}
 	f.serving(1)
-	f.wait("all agree", func() bool {
-		var d uint64
-		f.ask(0, func(c *control) bool { d = c.table.Digest(); return true })
-		return f.all(func(c *control) bool { return c.table.Digest() == d })
-	})
+	f.agree()
 	return f
 }
 
@@ -143,7 +140,7 @@
 
 func quiet(b *testing.B, n int) {
 	f := startBenchFleet(b, n)
-	time.Sleep(3 * time.Second)
+	time.Sleep(settleTime)
 	w, c, u := f.controlBytes(), f.store.Counts().Calls(), used()
 	t := time.Now()
 	time.Sleep(quietTime)
--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -28,6 +28,9 @@
 	rosterTime     = 2 * time.Second
 	rosterNamesMax = 64
 	joinPeers      = 3
+	joinTime       = 500 * time.Millisecond // between two tries to join
+	aloneTime      = 3 * time.Second        // until nobody of the rosters can be there
+	firstTime      = 300 * time.Millisecond // the same when the rosters are empty
 )
 
 // roster is the object by which the daemons of a site are found.
@@ -70,13 +73,43 @@
 // listed takes in the control objects of the platform.
 func (c *control) listed(l platform.Listing) {
 	c.platformAnswered(nil)
-	c.platformUp = true
 	for _, o := range l.Objects {
 		c.object(o)
 	}
+	if !c.platformUp {
+		c.platformUp = true
+		w := firstTime
+		if len(c.rosters) > 0 {
+			w = aloneTime
+		}
+		c.aloneAt = c.d.now().Add(w + time.Duration(c.random.Int64N(int64(w))))
+	}
 	c.advance()
 }
 
+// mayAct tells whether this daemon may act for its site. One that knows nobody
+// yet ranks first in its own eyes: a herd that starts at once would watch and
+// write rosters as one. It waits for a random time until somebody is found or
+// nobody can be there. (The random delay of contenders is the related paper's;
+// docs/MEASUREMENTS.md has what it saves.)
+func (c *control) mayAct(now time.Time) bool {
+	return c.platformUp && (c.joined() || now.After(c.aloneAt))
+}
+
+// tendJoin gets in touch with those of the rosters that are not known to live.
+// A daemon that knows nobody does so for itself. The watchers do so for their
+// site: parts of the fleet that found each other only among themselves, after
+// a herd or a cut, meet again through them.
+func (c *control) tendJoin(now time.Time) {
+	if c.joined() && !c.watching || now.Before(c.joinAt) {
+		return
+	}
+	c.joinAt = now.Add(joinTime + time.Duration(c.random.Int64N(int64(joinTime))))
+	for _, o := range c.rosters {
+		c.join(o)
+	}
+}
+
 func (c *control) object(o platform.Object) {
 	switch {
 	case o.Key == change.HeadKey:
@@ -90,23 +123,19 @@
 	}
 }
 
-// join gets in touch with some of the roster if nobody in it is known yet.
+// join gets in touch with some of the roster that are not known to live.
 func (c *control) join(o platform.Object) {
 	var r roster
 	if json.Unmarshal(o.Value, &r) != nil {
 		return
 	}
 	s := c.table.Self()
-	r.Instances = slices.DeleteFunc(r.Instances, func(e rosterEntry) bool { return e.Name == s.Name })
-	for _, e := range r.Instances {
-		if k, _, ok := c.table.Get(e.Name); ok && k.Live() {
-			return
-		}
-	}
-	c.random.Shuffle(len(r.Instances), func(i, j int) {
-		r.Instances[i], r.Instances[j] = r.Instances[j], r.Instances[i]
+	l := slices.DeleteFunc(r.Instances, func(e rosterEntry) bool {
+		k, _, ok := c.table.Get(e.Name)
+		return e.Name == s.Name || ok && k.Live()
 	})
-	for _, e := range r.Instances[:min(joinPeers, len(r.Instances))] {
+	c.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	for _, e := range l[:min(joinPeers, len(l))] {
 		c.exchange(e.Name, e.PeerAddress, 0)
 	}
 }
@@ -114,10 +143,11 @@
 // tendWatch watches the platform while this daemon is one of the first of its
 // site by rendezvous hashing. Nothing is handed over: two watch at a time, and
 // one too many does no harm.
-func (c *control) tendWatch() {
+func (c *control) tendWatch(now time.Time) {
 	s := c.table.Self()
 	k := c.table.Rank(s.Site, "watch", s.Name)
-	if c.watching || !c.platformUp || k < 0 || k >= watchers {
+	// A watch is only worth its call once the others of the site are known.
+	if c.watching || !c.mayAct(now) || !c.joined() && now.Before(c.aloneAt.Add(aloneTime)) || k < 0 || k >= watchers {
 		return
 	}
 	c.watching = true
@@ -175,7 +205,7 @@
 // condition that nobody else wrote it meanwhile.
 func (c *control) tendRoster(now time.Time) {
 	s := c.table.Self()
-	if !c.platformUp || now.Before(c.rosterAt) || c.table.Rank(s.Site, "roster", s.Name) != 0 {
+	if !c.mayAct(now) || now.Before(c.rosterAt) || c.table.Rank(s.Site, "roster", s.Name) != 0 {
 		return
 	}
 	k := rosterPrefix + s.Site
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -50,6 +50,8 @@
 	answered   map[string]bool
 	rosters    map[string]platform.Object
 	rosterAt   time.Time
+	aloneAt    time.Time // from when a daemon that knows nobody acts
+	joinAt     time.Time // when the rosters are gone through next
 	watching   bool
 	finishing  map[string]bool
 
@@ -152,7 +154,8 @@
 		}
 	}
 	c.advance()
-	c.tendWatch()
+	c.tendJoin(now)
+	c.tendWatch(now)
 	c.tendRoster(now)
 	c.tendProposal(now)
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -165,6 +165,20 @@
 	}
 }
 
+// agree waits until every running daemon believes the same of all.
+func (f *fleet) agree() {
+	f.t.Helper()
+	f.wait("all agree", func() bool {
+		var d uint64
+		return f.all(func(c *control) bool {
+			if d == 0 {
+				d = c.table.Digest()
+			}
+			return c.table.Digest() == d
+		})
+	})
+}
+
 // submit submits at daemon i and returns the steps without repetition.
 func (f *fleet) submit(i int, id string, b site.Bundle) []progress {
 	return f.submission(i, submission{id: id, submitter: "linh", bundle: b, began: time.Now()})
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -16,7 +16,9 @@
 	eagerPeers    = 3
 	indirectPeers = 3
 	mismatchesMax = 3
-	fullTime      = 5 * time.Second // between two swaps of the whole table
+	fullTime      = 20 * time.Millisecond // between two swaps of whole tables, for each record
+	fullTimeMin   = 500 * time.Millisecond
+	fullTimeMax   = 10 * time.Second
 )
 
 // exchange probes an instance and swaps news with it. When it does not answer,
@@ -98,7 +100,8 @@
 		return false
 	}
 	c.mismatches = 0
-	c.fullAt = now.Add(fullTime/2 + time.Duration(c.random.Int64N(int64(fullTime))))
+	w := min(max(fullTime*time.Duration(c.table.Count()), fullTimeMin), fullTimeMax)
+	c.fullAt = now.Add(w/2 + time.Duration(c.random.Int64N(int64(w))))
 	return true
 }
 
--- /dev/null
+++ b/daemon/storm_bench_test.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkStorm measures what it takes until daemons that are all killed and
+// return at one moment, at their addresses, agree on each other and serve what
+// is in force, and what that asks of the platform.
+func BenchmarkStorm(b *testing.B) {
+	for _, n := range benchSizes() {
+		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
+			for range b.N {
+				storm(b, n)
+			}
+		})
+	}
+}
+
+func storm(b *testing.B, n int) {
+	f := startBenchFleet(b, n)
+	time.Sleep(rosterTime * 2) // for the rosters to be complete
+	for _, d := range f.daemons {
+		d.kill()
+	}
+	for i := range f.daemons {
+		f.stop(i)
+	}
+	c := f.store.Counts()
+	t := time.Now()
+	for i, d := range f.daemons {
+		f.start(i, d.Settings())
+	}
+	f.serving(1)
+	b.ReportMetric(time.Since(t).Seconds(), "serving-s")
+	f.wait("all know each other", func() bool { return f.all(func(c *control) bool { return c.table.Count() == n }) })
+	f.agree()
+	b.ReportMetric(time.Since(t).Seconds(), "agreed-s")
+	b.ReportMetric(float64(f.controlBytes())/float64(n)/1024, "control-KB/instance")
+	e := f.store.Counts()
+	b.ReportMetric(float64(e.Calls()-c.Calls())/float64(n), "platform-calls/instance")
+	b.Logf("%+v", e)
+	f.close()
+}
--- a/instance/table.go
+++ b/instance/table.go
@@ -15,7 +15,7 @@
 const (
 	SuspicionTime   = 2 * time.Second
 	ForgetTime      = 10 * time.Minute
-	newsMax         = 40
+	newsMax         = 128
 	repeatPerDouble = 2
 
 	doubtMax   = 5 // of failed probes that count against this daemon
