Watchers pass a new head on only where no delivery brings it

Change: a head learned by watch is passed on half a second later, and only if no delivery brought it meanwhile: that is the case of a dead coordinator. TestFinishedByOthers still passes.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -26,6 +26,7 @@
 	watchWaitMin   = 100 * time.Millisecond
 	watchWaitMax   = 5 * time.Second
 	rosterTime     = 2 * time.Second
+	deliverTime    = 500 * time.Millisecond // within which a delivery brings a new head
 	rosterNamesMax = 64
 	joinPeers      = 3
 	joinTime       = 500 * time.Millisecond // between two tries to join
@@ -87,6 +88,19 @@
 	c.advance()
 }
 
+// passOn spreads a head that the platform told of, unless a delivery brings it
+// to everybody anyway: then the coordinator lives, and saying it again from
+// every watcher would cost more than the delivery itself.
+func (c *control) passOn(now time.Time) {
+	if c.watchedAt.IsZero() || now.Sub(c.watchedAt) < deliverTime {
+		return
+	}
+	c.watchedAt = time.Time{}
+	if c.delivered < c.head.Sequence {
+		c.eager = true
+	}
+}
+
 // mayAct tells whether this daemon may act for its site. One that knows nobody
 // yet ranks first in its own eyes: a herd that starts at once would watch and
 // write rosters as one. It waits for a random time until somebody is found or
@@ -115,7 +129,7 @@
 	case o.Key == change.HeadKey:
 		h, err := change.DecodeHead(o.Value)
 		if err == nil && c.observe(h) {
-			c.eager = true
+			c.watchedAt = c.d.now()
 		}
 	case strings.HasPrefix(o.Key, rosterPrefix):
 		c.rosters[o.Key] = o
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -39,8 +39,12 @@
 	draining     bool
 	gone         bool
 
-	head     change.Head    // the newest that is known
-	target   change.Release // the newest in force that is known
+	head   change.Head    // the newest that is known
+	target change.Release // the newest in force that is known
+
+	delivered uint64    // sequence of the newest head that a delivery brought
+	watchedAt time.Time // when the platform told of a head that others may not know
+
 	serving  *site.Snapshot
 	contents map[string]*content
 	fetching map[string]bool
@@ -154,6 +158,7 @@
 		}
 	}
 	c.advance()
+	c.passOn(now)
 	c.tendJoin(now)
 	c.tendWatch(now)
 	c.tendRoster(now)
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -262,6 +262,7 @@
 	}
 	var r change.Report
 	_ = d.do(x, func(c *control) {
+		c.delivered = max(c.delivered, h.Sequence)
 		c.observe(h)
 		c.publish()
 		r = c.report(h)
--- a/demo/changes.go
+++ b/demo/changes.go
@@ -83,11 +83,13 @@
 	problem string
 }
 
-// submit sends a bundle to the daemon of k and returns the last step.
-func submit(x context.Context, k *Instance, id string, b site.Bundle) (outcome, error) {
+// submit sends a bundle, edited from the version on, to the daemon of k and
+// returns the last step.
+func submit(x context.Context, k *Instance, id string, on uint64, b site.Bundle) (outcome, error) {
 	q := &operatorpb.SubmitRequest{
 		ChangeID:  id,
 		Submitter: "demo",
+		OnNumber:  on,
 		Base:      &operatorpb.File{Name: b.Base.Name, Text: b.Base.Text},
 	}
 	for _, f := range b.Overlays {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -170,7 +170,7 @@
 	r.edition++
 	seen := make(chan []time.Time, 1)
 	go func() { seen <- firstSeen(x, r.mesh, r.report.Version) }()
-	o, err := submit(x, r.mesh.Instances[n%len(r.mesh.Instances)], fmt.Sprintf("demo-%d", r.edition), b)
+	o, err := submit(x, r.mesh.Instances[n%len(r.mesh.Instances)], fmt.Sprintf("demo-%d", r.edition), r.report.Version, b)
 	if err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 }
 
 func (r *run) bad(x context.Context) error {
-	o, err := submit(x, r.mesh.Instances[2], "demo-bad", r.script.bad(r.deployment.Bundle))
+	o, err := submit(x, r.mesh.Instances[2], "demo-bad", r.report.Version, r.script.bad(r.deployment.Bundle))
 	if err != nil {
 		return err
 	}
@@ -226,7 +226,7 @@
 	l := append([]site.File{}, b.Overlays...)
 	l[0].Text += "Remove:\n  Services: [" + r.deployment.Groups[0].Service + "]\n"
 	b.Overlays = l
-	o, err := submit(x, r.mesh.Instances[3], "demo-bad-overlay", b)
+	o, err := submit(x, r.mesh.Instances[3], "demo-bad-overlay", r.report.Version, b)
 	if err != nil {
 		return err
 	}
@@ -256,11 +256,12 @@
 	seen := make(chan []time.Time, 1)
 	go func() { seen <- firstSeen(x, r.mesh, r.report.Version) }()
 	c := make(chan entry)
+	on := r.report.Version
 	for i := range 2 {
 		b := r.script.edition(r.deployment.Bundle, r.edition)
 		r.edition++
 		go func() {
-			o, err := submit(x, r.mesh.Instances[4+i], fmt.Sprintf("demo-race-%d", i), b)
+			o, err := submit(x, r.mesh.Instances[4+i], fmt.Sprintf("demo-race-%d", i), on, b)
 			c <- entry{o, b, err}
 		}()
 	}
