A daemon that knows nobody lists the rosters again and asks the seeds

Cause: by hand, three daemons of three sites started at once did not know each other 4 s later: each wrote the roster of its own site, nobody conflicted, and nobody read again. The change submitted meanwhile waited 0.6 to 0.8 s.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -21,6 +21,9 @@
 	bootWaitMin = 50 * time.Millisecond
 	bootWaitMax = 3 * time.Second
 
+	listWaitMin = 500 * time.Millisecond
+	listWaitMax = 10 * time.Second
+
 	watchers       = 2 // of each site
 	watchTime      = 5 * time.Minute
 	watchWaitMin   = 100 * time.Millisecond
@@ -59,11 +62,7 @@
 		}
 		_ = d.do(x, func(c *control) {
 			c.platformAnswered(err)
-			for _, a := range c.d.settings.Seeds {
-				if a != c.d.settings.PeerAddress {
-					c.exchange("", a, 0)
-				}
-			}
+			c.askSeeds()
 			c.spreadNews()
 		})
 		w = backoff(r, w, bootWaitMin, bootWaitMax)
@@ -122,6 +121,39 @@
 	for _, o := range c.rosters {
 		c.join(o)
 	}
+	if !c.joined() {
+		c.askSeeds()
+		c.listAgain(now)
+	}
+}
+
+// askSeeds gets in touch with the seeds of the settings.
+func (c *control) askSeeds() {
+	for _, a := range c.d.settings.Seeds {
+		if a != c.d.settings.PeerAddress {
+			c.exchange("", a, 0)
+		}
+	}
+}
+
+// listAgain lists the rosters again for a daemon that knows nobody: those of
+// other sites may have been written since it started. It does so less and less
+// often, for it may be the only one there is.
+func (c *control) listAgain(now time.Time) {
+	if !c.platformUp || now.Before(c.listAt) {
+		return
+	}
+	c.listWait = backoff(c.random, c.listWait, listWaitMin, listWaitMax)
+	c.listAt = now.Add(c.listWait)
+	c.start(func(x context.Context) {
+		l, err := c.d.store.List(x, controlPrefix)
+		_ = c.d.do(x, func(c *control) {
+			c.platformAnswered(err)
+			if err == nil {
+				c.listed(l)
+			}
+		})
+	})
 }
 
 func (c *control) object(o platform.Object) {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -56,6 +56,8 @@
 	rosterAt   time.Time
 	aloneAt    time.Time // from when a daemon that knows nobody acts
 	joinAt     time.Time // when the rosters are gone through next
+	listAt     time.Time // when a daemon that knows nobody lists them next
+	listWait   time.Duration
 	watching   bool
 	finishing  map[string]bool
 
