Repair by parts: tables that differ swap only the buckets that do

Cause: after a herd returned, one to three daemons of 50 lacked one to three records for up to 8 s. Whole tables were swapped only after three probes in a row that differed, and each probe that matched reset the count. Change: a digest that differs while no news is on its way starts a repair at once: 16 digests of parts, then the records of the parts that differ, both ways.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -61,12 +61,11 @@
 	watching   bool
 	finishing  map[string]bool
 
-	probed     time.Time
-	mismatches int
-	fullAt     time.Time
-	eager      bool
-	dirty      bool
-	changed    chan struct{}
+	probed   time.Time
+	repairAt time.Time // before which no repair starts
+	eager    bool
+	dirty    bool
+	changed  chan struct{}
 
 	running int
 	ended   chan struct{}
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -15,10 +15,7 @@
 	exchangeTime  = time.Second
 	eagerPeers    = 3
 	indirectPeers = 3
-	mismatchesMax = 3
-	fullTime      = 20 * time.Millisecond // between two swaps of whole tables, for each record
-	fullTimeMin   = 500 * time.Millisecond
-	fullTimeMax   = 10 * time.Second
+	repairTime    = 300 * time.Millisecond // between two repairs
 )
 
 // exchange probes an instance and swaps news with it. When it does not answer,
@@ -30,7 +27,7 @@
 	c.start(func(x context.Context) {
 		p, err := c.d.ask(x, t, address, q)
 		if err == nil {
-			_ = c.d.do(x, func(c *control) { c.exchanged(name, p) })
+			_ = c.d.do(x, func(c *control) { c.exchanged(name, address, p) })
 			return
 		}
 		if incarnation > 0 && !c.d.probeIndirectly(x, t, name, address) {
@@ -73,36 +70,16 @@
 	return ok
 }
 
-// exchangeRequest returns what goes to the next peer: the whole table when
-// digests have differed for a while, the news otherwise.
+// exchangeRequest returns what goes to the next peer: the news, and for the
+// first peer of all everything, which is only this instance.
 func (c *control) exchangeRequest() *peerpb.ExchangeRequest {
-	q := &peerpb.ExchangeRequest{
+	return &peerpb.ExchangeRequest{
 		From:   c.d.settings.Instance,
 		Digest: c.table.Digest(),
-		Full:   c.wantsFull(c.d.now()),
+		Full:   !c.joined(),
 		Head:   peer.FromHead(c.head),
+		News:   peer.FromRecords(append(c.table.News(), c.table.Self())),
 	}
-	if q.Full {
-		q.News = peer.FromRecords(c.table.All())
-		return q
-	}
-	q.News = peer.FromRecords(append(c.table.News(), c.table.Self()))
-	return q
-}
-
-// wantsFull tells whether to swap whole tables. In a storm digests differ all
-// the time, and whole tables would feed it: they are spaced out.
-func (c *control) wantsFull(now time.Time) bool {
-	if !c.joined() {
-		return true
-	}
-	if c.mismatches < mismatchesMax || now.Before(c.fullAt) {
-		return false
-	}
-	c.mismatches = 0
-	w := min(max(fullTime*time.Duration(c.table.Count()), fullTimeMin), fullTimeMax)
-	c.fullAt = now.Add(w/2 + time.Duration(c.random.Int64N(int64(w))))
-	return true
 }
 
 // joined tells whether this daemon knows any other.
@@ -114,7 +91,7 @@
 	}
 }
 
-func (c *control) exchanged(name string, p *peerpb.ExchangeResponse) {
+func (c *control) exchanged(name, address string, p *peerpb.ExchangeResponse) {
 	c.table.Answered()
 	c.absorb(peer.ToRecords(p.GetNews()))
 	if name != "" {
@@ -123,14 +100,40 @@
 	if c.observe(peer.ToHead(p.GetHead())) {
 		c.eager = true
 	}
-	if p.GetDigest() == c.table.Digest() {
-		c.mismatches = 0
-	} else {
-		c.mismatches++
+	if p.GetDigest() != c.table.Digest() {
+		c.repair(address)
 	}
 	c.advance()
 }
 
+// repair brings two tables together that differ although no news is on its way
+// that would explain it: the parts that differ are swapped. While there is
+// news, as in a storm, tables always differ, and repairs would only feed it.
+func (c *control) repair(address string) {
+	now := c.d.now()
+	if c.table.Pending() || now.Before(c.repairAt) {
+		return
+	}
+	c.repairAt = now.Add(repairTime + time.Duration(c.random.Int64N(int64(repairTime))))
+	q := c.exchangeRequest()
+	q.Buckets = c.table.BucketDigests()
+	c.start(func(x context.Context) {
+		p, err := c.d.ask(x, exchangeTime, address, q)
+		if err != nil {
+			return
+		}
+		var n *peerpb.ExchangeRequest
+		err = c.d.do(x, func(c *control) {
+			n = c.exchangeRequest()
+			n.News = peer.FromRecords(c.table.In(p.GetDiffering()))
+			c.absorb(peer.ToRecords(p.GetNews()))
+		})
+		if err == nil && len(n.GetNews()) > 0 {
+			_, _ = c.d.ask(x, exchangeTime, address, n)
+		}
+	})
+}
+
 // absorb takes in news of instances. What calls or changes depend on is passed
 // on at once; suspicions and their refutations travel with the probes, or they
 // would feed the very overload that caused them.
@@ -181,6 +184,10 @@
 		return p
 	}
 	n := c.table.News()
+	if len(q.GetBuckets()) > 0 {
+		p.Differing = c.table.Differing(q.GetBuckets())
+		n = c.table.In(p.GetDiffering())
+	}
 	// One that is believed suspect or dead and asks must hear it to refute it.
 	if r, _, ok := c.table.Get(q.GetFrom()); ok && r.Health != instance.Alive {
 		n = append(n, r)
--- a/instance/table.go
+++ b/instance/table.go
@@ -231,10 +231,23 @@
 	return e.record, e.changed, true
 }
 
+// Buckets is how many parts the names are divided into for repair.
+const Buckets = 16
+
 // Digest returns a hash that two tables share when they hold the same live
-// records; its order does not matter, so it is a sum.
+// records.
 func (t *Table) Digest() uint64 {
 	var d uint64
+	for _, b := range t.BucketDigests() {
+		d += b
+	}
+	return d
+}
+
+// BucketDigests returns the digest of each bucket. The order of the records
+// does not matter, so that each digest is a sum.
+func (t *Table) BucketDigests() []uint64 {
+	d := make([]uint64, Buckets)
 	var b [16]byte
 	for n, e := range t.entries {
 		if !e.record.Live() {
@@ -242,11 +255,46 @@
 		}
 		binary.LittleEndian.PutUint64(b[:8], e.record.Incarnation)
 		binary.LittleEndian.PutUint64(b[8:], uint64(e.record.Health))
-		d += xxh3.HashStringSeed(n, xxh3.Hash(b[:]))
+		d[bucket(n)] += xxh3.HashStringSeed(n, xxh3.Hash(b[:]))
 	}
 	return d
 }
 
+// Differing returns the buckets in which this table differs from one with the
+// given digests.
+func (t *Table) Differing(digests []uint64) []uint32 {
+	var r []uint32
+	for i, d := range t.BucketDigests() {
+		if i >= len(digests) || digests[i] != d {
+			r = append(r, uint32(i))
+		}
+	}
+	return r
+}
+
+// In returns the records of the given buckets.
+func (t *Table) In(buckets []uint32) []Record {
+	var r []Record
+	for _, n := range t.names {
+		if slices.Contains(buckets, bucket(n)) {
+			r = append(r, t.entries[n].record)
+		}
+	}
+	return r
+}
+
+// Pending tells whether there is news that is still to be handed out.
+func (t *Table) Pending() bool {
+	for _, e := range t.entries {
+		if e.repeats > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func bucket(name string) uint32 { return uint32(xxh3.HashString(name) % Buckets) }
+
 // Some returns up to k live instances other than this one and skip, at
 // random.
 func (t *Table) Some(r *rand.Rand, k int, skip string) []Record {
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// TestRepair brings two tables together by the buckets that differ.
+func TestRepair(t *testing.T) {
+	var l []instance.Record
+	for i := range 100 {
+		l = append(l, record(fmt.Sprintf("i-%02d", i), 1))
+	}
+	a, b := table(l[1:]...), table(l[:99]...)
+	d := b.Differing(a.BucketDigests())
+	if len(d) == 0 || len(d) > 2 {
+		t.Errorf("%d buckets differ by two records", len(d))
+	}
+	a.Merge(b.In(d), start)
+	b.Merge(a.In(d), start)
+	if a.Digest() != b.Digest() || len(a.Differing(b.BucketDigests())) > 0 {
+		t.Error("the tables still differ")
+	}
+	if n := len(a.Differing(nil)); n != instance.Buckets {
+		t.Errorf("%d buckets differ from a table that says nothing", n)
+	}
+}
+
 // TestRankHandsOverOnlyWhatIsLost checks that a death moves ranks only behind
 // the dead, so that watchers stay where they are.
 func TestRankHandsOverOnlyWhatIsLost(t *testing.T) {
