--- /dev/null
+++ b/daemon/drain_test.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"figwheel/platform/platformtest"
+	"figwheel/site"
+	"figwheel/upstream/upstreamtest"
+)
+
+const drainBase = `
+Organisation: o
+Sites: [site-0]
+Services:
+  s: {Deadline: 5s, Slots: 9, Connections: 20, Queue: 50, RetryPercent: 100}
+Routes:
+  r: {Host: h.example, PathPrefix: /, Service: s}
+`
+
+// drained is a fleet of three instances with real workers under load.
+type drained struct {
+	*fleet
+	workers []*upstreamtest.Worker
+	stops   []context.CancelFunc
+	ended   chan error
+	failed  atomic.Pointer[string]
+	calls   atomic.Int64
+}
+
+func newDrained(t *testing.T) *drained {
+	d := &drained{fleet: &fleet{t: t, store: &platformtest.Store{}}, ended: make(chan error, 3)}
+	d.startAll(1, 3)
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		k := &upstreamtest.Worker{Service: "s", Slots: 9, Work: 20 * time.Millisecond}
+		x, stop := context.WithCancel(context.Background())
+		d.workers = append(d.workers, k)
+		d.stops = append(d.stops, stop)
+		go func() { d.ended <- k.Run(x, l, d.daemons[i].Settings().UpstreamAddress) }()
+	}
+	t.Cleanup(func() {
+		for i := range d.stops {
+			d.stops[i]()
+		}
+		for range d.stops {
+			if err := <-d.ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	b := site.Bundle{Base: site.File{Name: "base.yaml", Text: drainBase}}
+	if p := last(d.submit(0, "c1", b)); p.step != stepInForce {
+		t.Fatal(p.step, p.err)
+	}
+	d.wait("three workers are ready everywhere", func() bool {
+		return d.all(func(c *control) bool { return len(c.readyNames()) == 3 })
+	})
+	return d
+}
+
+// load sends requests that must not run twice to daemons 0 and 1 until x ends.
+// Any answer but a whole one is a failure.
+func (d *drained) load(x context.Context) chan struct{} {
+	done := make(chan struct{})
+	for i := range 8 {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for x.Err() == nil {
+				if s := post(d.daemons[i%2].Settings().CallAddress); s != "" {
+					d.failed.Store(&s)
+				}
+				d.calls.Add(1)
+			}
+		}()
+	}
+	all := make(chan struct{})
+	go func() {
+		for range 8 {
+			<-done
+		}
+		close(all)
+	}()
+	return all
+}
+
+func post(address string) string {
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+	if err != nil {
+		return err.Error()
+	}
+	q.Host = "h.example"
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	if err != nil || p.StatusCode != http.StatusOK {
+		return p.Status + " " + string(b)
+	}
+	return ""
+}
+
+// TestDrain lets a worker drain, then its daemon leave, under load. Nothing is
+// cut, nothing fails, and soon nothing new arrives at the worker.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		leave func(d *drained)
+	}{
+		{"the worker says that it drains", func(d *drained) { d.workers[2].SetState("Draining") }},
+		{"the daemon is told to stop", func(d *drained) { d.fleet.stop(2) }},
+		{"both at one moment", func(d *drained) {
+			d.workers[2].SetState("Draining")
+			d.fleet.stop(2)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrained(t)
+			x, stop := context.WithCancel(context.Background())
+			done := d.load(x)
+			d.wait("the worker is at work", func() bool { return d.workers[2].Peak() > 0 })
+			began := time.Now()
+			c.leave(d)
+			const within = 3 * time.Second // the bound of the issue
+			last, at := d.workers[2].Total(), began
+			for time.Since(began) < within+500*time.Millisecond {
+				if n := d.workers[2].Total(); n != last {
+					last, at = n, time.Now()
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			stop()
+			<-done
+			if at.Sub(began) > within {
+				t.Errorf("new work still arrives after %s", at.Sub(began))
+			}
+			if s := d.failed.Load(); s != nil {
+				t.Errorf("a call failed: %s", *s)
+			}
+			t.Logf("%d calls; the last new work came %s after", d.calls.Load(), at.Sub(began).Round(time.Millisecond))
+		})
+	}
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -27,6 +27,7 @@
 	daemons []*Daemon
 
 	stageLimit settings.Duration
+	now        func() time.Time // nil is time.Now
 	stops      []context.CancelFunc
 	ended      []chan error
 }
@@ -79,7 +80,11 @@
 	if os.Getenv("FIGWHEEL_TEST_LOG") != "" {
 		l = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
-	d, err := New(Options{Settings: s, Store: p, Now: time.Now, Seed: uint64(i + 1), Log: l})
+	now := f.now
+	if now == nil {
+		now = time.Now
+	}
+	d, err := New(Options{Settings: s, Store: p, Now: now, Seed: uint64(i + 1), Log: l})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,96 @@
+package upstream_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/result"
+	"figwheel/upstream"
+)
+
+func TestAnnounceHandler(t *testing.T) {
+	const ready = `{"Service": "s", "Address": "127.0.0.1:80", "State": "Ready", "Slots": 3}`
+	cases := []struct {
+		name, method, body string
+		want               int
+	}{
+		{"ready", "POST", ready, 204},
+		{"not posted", "GET", "", 400},
+		{"not JSON", "POST", "Ready", 400},
+		{"an unknown field", "POST", `{"Service": "s", "Adress": "127.0.0.1:80"}`, 400},
+		{"no service", "POST", `{"Address": "127.0.0.1:80", "State": "Ready"}`, 400},
+		{"no address", "POST", `{"Service": "s", "State": "Ready"}`, 400},
+		{"a state that is none", "POST", `{"Service": "s", "Address": "127.0.0.1:80", "State": "ready"}`, 400},
+		{"slots below 0", "POST", strings.Replace(ready, "3", "-3", 1), 400},
+		{"too large", "POST", `{"Service": "` + strings.Repeat("s", 20_000) + `"}`, 400},
+	}
+	for _, c := range cases {
+		var took []upstream.Announcement
+		h := upstream.AnnounceHandler{
+			Take: func(a upstream.Announcement, _ time.Time) { took = append(took, a) },
+			Now:  time.Now,
+		}
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, upstream.AnnouncePath, strings.NewReader(c.body)))
+		if w.Code != c.want || (len(took) > 0) != (c.want == http.StatusNoContent) {
+			t.Errorf("%s: status %d, took %v", c.name, w.Code, took)
+		}
+		if c.want != http.StatusNoContent && !strings.Contains(w.Body.String(), result.BadAnnouncement.String()) {
+			t.Errorf("%s: %s", c.name, w.Body)
+		}
+	}
+}
+
+// TestGate takes steps one after the other; each shows what is in flight.
+func TestGate(t *testing.T) {
+	var g upstream.Gate
+	x := context.Background()
+	if c := g.Enter(x); c != result.Overloaded {
+		t.Errorf("the zero gate lets in: %s", c)
+	}
+	g.SetLimits(1, 2)
+	if c := g.Enter(x); c != 0 {
+		t.Fatal(c)
+	}
+	y, stop := context.WithCancel(x)
+	in := make(chan result.Code)
+	go func() { in <- g.Enter(y) }()
+	waitFor(t, &g, 2)
+	go func() { in <- g.Enter(x) }()
+	waitFor(t, &g, 3)
+	late, end := context.WithDeadline(x, time.Now().Add(-time.Second))
+	defer end()
+	got := []result.Code{g.Enter(x)} // the queue is full
+	stop()
+	got = append(got, <-in) // the first in the queue hangs up
+	got = append(got, g.Enter(late))
+	g.Leave()
+	got = append(got, <-in) // the second gets the slot
+	g.SetLimits(2, 0)
+	got = append(got, g.Enter(x), g.Enter(x))
+	want := []result.Code{result.Overloaded, result.CallerGone, result.DeadlineExceeded, 0, 0, result.Overloaded}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	g.Leave()
+	g.Leave()
+	if n := g.InFlight(); n != 0 {
+		t.Errorf("%d in flight at the end", n)
+	}
+}
+
+func waitFor(t *testing.T, g *upstream.Gate, n int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); g.InFlight() != n; {
+		if time.Now().After(end) {
+			t.Fatalf("%d in flight, want %d", g.InFlight(), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/upstream/upstreamtest/worker.go
+++ b/upstream/upstreamtest/worker.go
@@ -39,6 +39,7 @@
 
 	mu    sync.Mutex
 	runs  map[string]int
+	total int
 	peak  int
 	now   int
 	state string
@@ -84,6 +85,7 @@
 	if id != "" {
 		k.runs[id]++
 	}
+	k.total++
 	k.now++
 	k.peak = max(k.peak, k.now)
 }
@@ -105,6 +107,13 @@
 	return r
 }
 
+// Total returns how many requests were run, or begun.
+func (k *Worker) Total() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.total
+}
+
 // Peak returns the most requests that ran at one time.
 func (k *Worker) Peak() int {
 	k.mu.Lock()
