--- /dev/null
+++ b/cmd/figwheel/main_test.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/daemon"
+	"figwheel/platform/platformtest"
+	"figwheel/settings"
+)
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// figwheel runs a command line and returns its output and exit code.
+func figwheel(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	x, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	var o, e bytes.Buffer
+	c := run(x, args, &o, &e)
+	return o.String() + e.String(), c
+}
+
+// startDaemon runs the daemon command with a settings file, as an operator
+// would, and returns its operator address.
+func startDaemon(t *testing.T, site, platform string) string {
+	t.Helper()
+	a := freeAddress(t)
+	s := "Instance: " + site + "-1\nSite: " + site + "\nPlatform: " + platform + "\nOperatorAddress: " + a + "\nLogLevel: Error\nDrainLimit: 1s\n"
+	for _, n := range []string{"CallAddress", "LinkAddress", "PeerAddress", "UpstreamAddress"} {
+		s += n + ": 127.0.0.1:0\n"
+	}
+	p := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(p, []byte(s), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	x, stop := context.WithCancel(context.Background())
+	ended := make(chan int, 1)
+	go func() { ended <- run(x, []string{"daemon", "--settings", p}, &bytes.Buffer{}, &bytes.Buffer{}) }()
+	t.Cleanup(func() {
+		stop()
+		if c := <-ended; c != exitOK {
+			t.Errorf("the daemon ended with %d", c)
+		}
+	})
+	return a
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+const (
+	goodBase = "Organisation: o\nSites: [a, b]\nServices:\n  s: {Deadline: 1s, Slots: 2, Connections: 4}\n"
+	badBase  = "Organisation: o\nSites: [a, b]\nRoutes:\n  r: {Service: s}\n"
+)
+
+// TestCommandLine goes through a supervisor's day on the command line: every
+// command, what it prints and its exit code.
+func TestCommandLine(t *testing.T) {
+	p := httptest.NewServer(platformtest.Handler{Store: &platformtest.Store{}})
+	t.Cleanup(p.Close)
+	d := startDaemon(t, "a", p.URL)
+	startDaemon(t, "b", p.URL)
+	for end := time.Now().Add(20 * time.Second); ; {
+		o, _ := figwheel(t, "status", "--daemon", d)
+		if strings.Contains(o, "b     1     0") {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the daemons do not know each other: %s", o)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	good, bad := write(t, "base.yaml", goodBase), write(t, "base.yaml", badBase)
+	more := write(t, "base.yaml", goodBase+"  t: {Deadline: 1s, Slots: 2, Connections: 4}\n")
+	overlay := write(t, "b.yaml", "Site: b\nServices:\n  s: {Queue: 7}\n")
+	nobody := freeAddress(t)
+	cases := []struct {
+		args string
+		code int
+		want string // a regular expression
+	}{
+		{"--help", exitOK, `Exit codes: 0 done`},
+		{"submit --help", exitOK, `--on=ON`},
+		{"sumbit", exitUsage, `FW5003: command line: expected command but got "sumbit"`},
+		{"check " + good, exitOK, `o: 2 sites \(a, b\), no problems`},
+		{"check --site b " + good + " " + overlay, exitOK, `Services.s.Queue +7 +b.yaml:3:14`},
+		{"check --site c " + good, exitRefused, `FW1010`},
+		{"check " + bad, exitRefused, `base.yaml:4:16: FW1008: route r leads to service s, which site a does not have\n.*site b.*\n2 problems`},
+		{"check --json " + bad, exitRefused, `^{"Problems":\[{"Code":1008,"At":{"File":"base.yaml","Line":4,"Column":16}`},
+		{"check none.yaml", exitUsage, `FW1015`},
+		{"submit --daemon D --change c1 --as linh --on 0 " + good, exitOK, `Proposed +version 1 +change c1\n(.*Staging.*\n)+.*Accepted.*\n(.*Activating.*\n)+.*InForce +version 1`},
+		{"submit --daemon D --change c1 " + good, exitOK, `InForce +version 1`},
+		{"submit --daemon D " + good, exitOK, `Unchanged`},
+		{"submit --daemon D " + bad, exitRefused, `FW1008(.*\n)+.*FW1008`},
+		{"diff --daemon D " + good + " " + overlay, exitOK, `site b, on version 1:\n  \+ Services.s.Queue +7`},
+		{"submit --daemon D --change c2 --as hung --on 1 --reason queue --json " + good + " " + overlay, exitOK, `"Step":"InForce"`},
+		{"submit --daemon D --on 1 " + more, exitConflict, `FW2002: version 2 of change c2 is in force`},
+		{"status --daemon D", exitOK, `version 2 of change c2, as a-1 sees it\nSITE +LIVE +IN FORCE +BEHIND\na +1 +1 +\nb +1 +1`},
+		{"status --daemon D --json", exitOK, `"Number":2`},
+		{"audit --daemon D", exitOK, `c2 +InForce +version 2 +hung +\d+ ms +b +queue`},
+		{"status --daemon " + nobody, exitUnreachable, `FW5004`},
+		{"submit --daemon " + nobody + " " + good, exitUnreachable, `FW5004`},
+		{"daemon --settings " + good, exitUsage, `FW5001`},
+	}
+	for _, c := range cases {
+		w := strings.Fields(c.args)
+		for i := range w {
+			if w[i] == "D" {
+				w[i] = d
+			}
+		}
+		o, code := figwheel(t, w...)
+		if code != c.code || !regexp.MustCompile(c.want).MatchString(o) {
+			t.Errorf("figwheel %s: exit code %d, want %d and %q\n%s", c.args, code, c.code, c.want, o)
+		}
+	}
+}
+
+// TestByHandSettings keeps the settings of the by-hand session valid.
+func TestByHandSettings(t *testing.T) {
+	l, err := filepath.Glob("../../examples/by-hand/*.yaml")
+	if err != nil || len(l) != 3 {
+		t.Fatal(l, err)
+	}
+	var got []string
+	for _, p := range l {
+		s, err := settings.Load(p, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, s.Site)
+	}
+	if d := cmp.Diff([]string{"beeston", "gunthorpe", "zouch"}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+func TestAddressInUse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	a := "127.0.0.1:0"
+	_, err = daemon.New(daemon.Options{Now: time.Now, Settings: settings.Settings{CallAddress: a, LinkAddress: a, PeerAddress: a, UpstreamAddress: a, OperatorAddress: l.Addr().String()}})
+	if err == nil || !strings.Contains(err.Error(), "FW5002") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -28,7 +28,7 @@
 type drained struct {
 	*fleet
 	workers []*upstreamtest.Worker
-	stops   []context.CancelFunc
+	ends    []context.CancelFunc
 	ended   chan error
 	failed  atomic.Pointer[string]
 	calls   atomic.Int64
@@ -45,14 +45,14 @@
 		k := &upstreamtest.Worker{Service: "s", Slots: 9, Work: 20 * time.Millisecond}
 		x, stop := context.WithCancel(context.Background())
 		d.workers = append(d.workers, k)
-		d.stops = append(d.stops, stop)
+		d.ends = append(d.ends, stop)
 		go func() { d.ended <- k.Run(x, l, d.daemons[i].Settings().UpstreamAddress) }()
 	}
 	t.Cleanup(func() {
-		for i := range d.stops {
-			d.stops[i]()
+		for i := range d.ends {
+			d.ends[i]()
 		}
-		for range d.stops {
+		for range d.ends {
 			if err := <-d.ended; err != nil {
 				t.Error(err)
 			}
@@ -120,10 +120,10 @@
 		leave func(d *drained)
 	}{
 		{"the worker says that it drains", func(d *drained) { d.workers[2].SetState("Draining") }},
-		{"the daemon is told to stop", func(d *drained) { d.fleet.stop(2) }},
+		{"the daemon is told to stop", func(d *drained) { d.stop(2) }},
 		{"both at one moment", func(d *drained) {
 			d.workers[2].SetState("Draining")
-			d.fleet.stop(2)
+			d.stop(2)
 		}},
 	}
 	for _, c := range cases {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -23,7 +23,7 @@
 		{"ready", "POST", ready, 204},
 		{"not posted", "GET", "", 400},
 		{"not JSON", "POST", "Ready", 400},
-		{"an unknown field", "POST", `{"Service": "s", "Adress": "127.0.0.1:80"}`, 400},
+		{"an unknown field", "POST", `{"Service": "s", "Colour": "red"}`, 400},
 		{"no service", "POST", `{"Address": "127.0.0.1:80", "State": "Ready"}`, 400},
 		{"no address", "POST", `{"Service": "s", "State": "Ready"}`, 400},
 		{"a state that is none", "POST", `{"Service": "s", "Address": "127.0.0.1:80", "State": "ready"}`, 400},
