A model check of the head: real decisions of three daemons under every fault

Cause: the tests of faults bring about the failures that were thought of. The model interleaves the real steps at random: pauses between read and write, kills, late, repeated and crossed news, daemons taken for dead, calls that carry news. What a daemon knows of heads moved out of the control goroutine into the value change.Known, so that the model drives the same code.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -95,7 +95,7 @@
 		return
 	}
 	c.watchedAt = time.Time{}
-	if c.delivered < c.head.Sequence {
+	if c.delivered < c.known.Head.Sequence {
 		c.eager = true
 	}
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -39,8 +39,7 @@
 	draining     bool
 	gone         bool
 
-	head   change.Head    // the newest that is known
-	target change.Release // the newest in force that is known
+	known change.Known
 
 	delivered uint64    // sequence of the newest head that a delivery brought
 	watchedAt time.Time // when the platform told of a head that others may not know
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -210,7 +210,7 @@
 // overtaken tells whether somebody else has settled the proposal meanwhile.
 func (d *Daemon) overtaken(x context.Context, h change.Head) bool {
 	var s uint64
-	_ = d.do(x, func(c *control) { s = c.head.Sequence })
+	_ = d.do(x, func(c *control) { s = c.known.Head.Sequence })
 	return s > h.Sequence
 }
 
@@ -232,7 +232,7 @@
 	end := d.now().Add(inForceTime)
 	for d.now().Before(end) {
 		var h change.Head
-		if d.do(x, func(c *control) { h = c.head }) != nil {
+		if d.do(x, func(c *control) { h = c.known.Head }) != nil {
 			return false
 		}
 		r, err := d.deliver(x, h)
@@ -263,8 +263,8 @@
 // tendProposal finishes a proposal whose coordinator is gone, or was this
 // instance before it was restarted.
 func (c *control) tendProposal(now time.Time) {
-	p := c.head.Proposed
-	if !c.head.HasProposal() || c.finishing[p.ChangeID] || !c.platformUp {
+	p := c.known.Head.Proposed
+	if !c.known.Head.HasProposal() || c.finishing[p.ChangeID] || !c.platformUp {
 		return
 	}
 	r, at, ok := c.table.Get(p.Coordinator)
@@ -370,7 +370,7 @@
 // spreadHead delivers the newest head once.
 func (d *Daemon) spreadHead(x context.Context) {
 	var h change.Head
-	if d.do(x, func(c *control) { h = c.head }) == nil {
+	if d.do(x, func(c *control) { h = c.known.Head }) == nil {
 		_, _ = d.deliver(x, h)
 	}
 }
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -77,7 +77,7 @@
 		From:   c.d.settings.Instance,
 		Digest: c.table.Digest(),
 		Full:   !c.joined(),
-		Head:   peer.FromHead(c.head),
+		Head:   peer.FromHead(c.known.Head),
 		News:   peer.FromRecords(append(c.table.News(), c.table.Self())),
 	}
 }
@@ -178,7 +178,7 @@
 	if c.observe(peer.ToHead(q.GetHead())) {
 		c.eager = true
 	}
-	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.head)}
+	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.known.Head)}
 	if q.GetFull() {
 		p.News = peer.FromRecords(c.table.All())
 		return p
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -22,57 +22,51 @@
 	fetchWait   = 100 * time.Millisecond
 )
 
-// observe takes in a head. Heads have one order, so that late, repeated and
-// crossed ones change nothing; it tells whether h was news.
+// observe takes in a head and tells whether it was news.
 func (c *control) observe(h change.Head) bool {
-	if h.Sequence <= c.head.Sequence {
+	k, ok := c.known.WithHead(h)
+	if !ok {
 		return false
 	}
-	c.head = h
-	if h.InForce.Number > c.target.Number {
-		c.target = h.InForce
-	}
+	c.known = k
 	c.dirty = true
 	c.advance()
 	return true
 }
 
-// seen handles a release that another daemon serves. It is trusted only when
-// it is the one proposed here: daemons serve nothing that was not accepted.
+// seen handles a release that another daemon serves.
 func (c *control) seen(number uint64, hash string) {
-	p := c.head.Proposed.Release
-	if p.Number != number || p.Content != hash {
-		c.spreadNews() // somebody knows more
+	k, ok := c.known.WithSeen(number, hash)
+	if !ok {
+		c.spreadNews() // somebody may know more
 		return
 	}
-	if number > c.target.Number {
-		c.target = p
-		c.advance()
-		c.publish()
-	}
+	c.known = k
+	c.advance()
+	c.publish()
 }
 
 // advance goes as far as what is known allows: it activates the target if its
 // content is here and fetches what is missing.
 func (c *control) advance() {
-	if c.target.Number > c.serving.Number() {
-		c.want(c.target.Content, c.serving != nil)
+	if c.known.Target.Number > c.serving.Number() {
+		c.want(c.known.Target.Content, c.serving != nil)
 		c.activate()
 	}
-	if c.head.HasProposal() {
-		c.want(c.head.Proposed.Content, true)
+	if c.known.Head.HasProposal() {
+		c.want(c.known.Head.Proposed.Content, true)
 	}
 }
 
 func (c *control) activate() {
-	k, ok := c.contents[c.target.Content]
+	k, ok := c.contents[c.known.Target.Content]
 	if !ok || k.refusal != nil {
 		return
 	}
-	if c.serving == nil && !change.MayServe(c.platformUp, c.head, len(c.answered), len(c.table.Live())-1) {
+	if c.serving == nil && !change.MayServe(c.platformUp, c.known.Head, len(c.answered), len(c.table.Live())-1) {
 		return
 	}
-	s, err := k.config.Snapshot(c.d.settings.Site, c.target.Number, c.target.Content)
+	s, err := k.config.Snapshot(c.d.settings.Site, c.known.Target.Number, c.known.Target.Content)
 	if err != nil {
 		return
 	}
@@ -81,16 +75,16 @@
 	c.dirty = true
 	c.prune()
 	c.describe(c.d.now())
-	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", c.target.ChangeID))
+	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", c.known.Target.ChangeID))
 	if first {
 		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
 	}
 }
 
-// prune keeps the contents in force and proposed.
+// prune drops the contents that nobody may ask for any more.
 func (c *control) prune() {
 	for h := range c.contents {
-		if h != c.target.Content && h != c.head.Proposed.Content && h != c.head.InForce.Content {
+		if !c.known.Keeps(h) {
 			delete(c.contents, h)
 		}
 	}
@@ -111,7 +105,7 @@
 	c.start(func(x context.Context) {
 		needed := false
 		if pause(x, w) {
-			_ = c.d.do(x, func(c *control) { needed = c.needs(hash) })
+			_ = c.d.do(x, func(c *control) { needed = c.known.Needs(hash, c.serving.Number()) })
 		}
 		if needed {
 			_, _ = c.d.content(x, hash, "", nil)
@@ -120,11 +114,6 @@
 	})
 }
 
-// needs tells whether the content is still to be served or staged.
-func (c *control) needs(hash string) bool {
-	return hash == c.target.Content && c.target.Number > c.serving.Number() || hash == c.head.Proposed.Content
-}
-
 // content returns the content of that hash: from memory, by the delta of q,
 // from the daemon at the address from, from other peers, or from the platform.
 // Requests for one hash at a time share the work.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -123,14 +123,14 @@
 	var h change.Head
 	r := &operatorpb.StatusResponse{Instance: o.d.settings.Instance}
 	err := o.d.do(x, func(c *control) {
-		h = c.head
+		h = c.known.Head
 		r.Number = c.serving.Number()
 		r.Ready = c.serving != nil
 		r.PlatformReachable = c.reachable
 		if c.serving != nil {
 			r.Content = c.serving.Content()
 		}
-		r.ChangeID = c.target.ChangeID
+		r.ChangeID = c.known.Target.ChangeID
 		r.ReadyInstances = c.readyNames()
 		if h.HasProposal() {
 			r.ProposedNumber = h.Proposed.Number
@@ -225,7 +225,7 @@
 // Source implements operatorpb.OperatorServiceHandler.
 func (o operators) Source(x context.Context, _ *operatorpb.SourceRequest) (*operatorpb.SourceResponse, error) {
 	var t change.Release
-	if err := o.d.do(x, func(c *control) { t = c.target }); err != nil {
+	if err := o.d.do(x, func(c *control) { t = c.known.Target }); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	if t.Number == 0 {
