Sites cut off from each other: proved with daemons that lose their links

Conclusion: the watchers' search of the rosters heals a cut; no code changed but for the place where connections are opened, which a caller may now give.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,8 @@
 
 	// Listen opens an address; nil is net.Listen for TCP.
 	Listen func(address string) (net.Listener, error)
+	// Dial opens connections for control traffic; nil is a net.Dialer.
+	Dial peer.Dial
 }
 
 // Daemon is one running daemon.
@@ -74,7 +76,7 @@
 		d.log = slog.New(slog.DiscardHandler)
 	}
 	d.log = d.log.With("Instance", o.Settings.Instance)
-	d.peers = peer.NewClient(&d.meter)
+	d.peers = peer.NewClient(&d.meter, o.Dial)
 	d.view.Store(caller.NewView(nil, nil))
 	m, err := metric.New(metric.Gauges{
 		Version:      func() int64 { return int64(d.View().Snapshot.Number()) },
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"figwheel/instance"
+	"figwheel/peer"
 	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/settings"
@@ -28,6 +33,8 @@
 
 	stageLimit settings.Duration
 	now        func() time.Time // nil is time.Now
+	cut        atomic.Bool      // whether sites are cut off from each other
+	sites      sync.Map         // of the site's name, by peer address
 	stops      []context.CancelFunc
 	ended      []chan error
 }
@@ -84,10 +91,11 @@
 	if now == nil {
 		now = time.Now
 	}
-	d, err := New(Options{Settings: s, Store: p, Now: now, Seed: uint64(i + 1), Log: l})
+	d, err := New(Options{Settings: s, Store: p, Now: now, Dial: f.dial(s.Site), Seed: uint64(i + 1), Log: l})
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.sites.Store(d.Settings().PeerAddress, s.Site)
 	x, stop := context.WithCancel(context.Background())
 	f.daemons[i] = d
 	f.stops[i] = stop
@@ -95,6 +103,39 @@
 	go func() { f.ended[i] <- d.Run(x) }()
 }
 
+// dial returns how the daemons of a site open connections: while the sites are
+// cut off from each other, only within it; what was open breaks when it is used.
+func (f *fleet) dial(site string) peer.Dial {
+	var n net.Dialer
+	return func(x context.Context, network, address string) (net.Conn, error) {
+		to, _ := f.sites.Load(address)
+		if f.cut.Load() && to != site {
+			return nil, &net.OpError{Op: "dial", Err: errCut}
+		}
+		c, err := n.DialContext(x, network, address)
+		if err != nil || to == site {
+			return c, err
+		}
+		return &cutConn{c, f}, nil
+	}
+}
+
+var errCut = errors.New("the sites are cut off from each other")
+
+type cutConn struct {
+	net.Conn
+	f *fleet
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.f.cut.Load() {
+		_ = c.Conn.Close()
+		return 0, errCut
+	}
+	return c.Conn.Write(b)
+}
+
 // stop lets a daemon leave.
 func (f *fleet) stop(i int) {
 	f.stops[i]()
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -25,10 +26,17 @@
 // Client calls other daemons by their peer address.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client whose traffic m counts.
-func NewClient(m *Meter) *Client {
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(x context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client whose traffic m counts. Connections are opened by
+// d, or as usual if that is nil.
+func NewClient(m *Meter, d Dial) *Client {
 	t := hop.NewTransport(0, dialTime)
-	t.DialContext = m.Dial(t.DialContext)
+	if d == nil {
+		d = t.DialContext
+	}
+	t.DialContext = m.Dial(d)
 	t.MaxIdleConnsPerHost = idlePerAddress
 	t.MaxIdleConns = idleAll
 	return &Client{&http.Client{Transport: t}}
--- a/peer/meter.go
+++ b/peer/meter.go
@@ -22,7 +22,7 @@
 func (m *Meter) Listener(l net.Listener) net.Listener { return meteredListener{l, m} }
 
 // Dial returns d with its connections counted.
-func (m *Meter) Dial(d func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func (m *Meter) Dial(d Dial) Dial {
 	return func(x context.Context, n, a string) (net.Conn, error) {
 		c, err := d(x, n, a)
 		if err != nil {
