Tidy: one way to read and check files, staging is logged, texts are bounded

Cause: check and diff read files by the same ten lines each; the check of a submission ran on the control goroutine (7 ms at the target's size, in which no probe was answered); submitter and reason went into the head without a bound; the event Staged was catalogued and never logged, Listening neither.

--- a/cmd/figwheel/files.go
+++ b/cmd/figwheel/files.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -50,6 +51,20 @@
 	return b, nil
 }
 
+// checked reads the files and checks them; problems have been shown when the
+// error is an exit code.
+func (f files) checked(o io.Writer, asJSON bool) (site.Configuration, error) {
+	b, err := f.bundle()
+	if err != nil {
+		return site.Configuration{}, err
+	}
+	g, p := site.Check(b, time.Now())
+	if len(p) > 0 {
+		return g, showProblems(o, asJSON, p)
+	}
+	return g, nil
+}
+
 func readFile(p string) (site.File, error) {
 	d, err := os.ReadFile(p)
 	if err != nil {
--- a/cmd/figwheel/offline.go
+++ b/cmd/figwheel/offline.go
@@ -22,14 +22,10 @@
 	j := c.Flag("json", "Print one JSON object.").Bool()
 	f := filesOf(c)
 	return command{c.FullCommand(), func(_ context.Context, o io.Writer) error {
-		b, err := f.bundle()
+		g, err := f.checked(o, *j)
 		if err != nil {
 			return err
 		}
-		g, p := site.Check(b, time.Now())
-		if len(p) > 0 {
-			return showProblems(o, *j, p)
-		}
 		if *s != "" && !g.Has(*s) {
 			return result.New(result.UnknownSite, "the base lists no site %s; sites are %s", *s, strings.Join(g.Sites(), ", "))
 		}
@@ -73,14 +69,10 @@
 	j := c.Flag("json", "Print one JSON object.").Bool()
 	f := filesOf(c)
 	return command{c.FullCommand(), func(x context.Context, o io.Writer) error {
-		b, err := f.bundle()
+		g, err := f.checked(o, *j)
 		if err != nil {
 			return err
 		}
-		g, p := site.Check(b, time.Now())
-		if len(p) > 0 {
-			return showProblems(o, *j, p)
-		}
 		r, err := operator.NewClient(*d).Source(x, &operatorpb.SourceRequest{})
 		if err != nil {
 			return result.Wrap(result.Unreachable, err, "daemon %s", *d)
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -130,7 +130,7 @@
 // Write implements net.Conn.
 func (c *cutConn) Write(b []byte) (int, error) {
 	if c.f.cut.Load() {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return 0, errCut
 	}
 	return c.Conn.Write(b)
@@ -145,6 +145,9 @@
 	f.stops[i] = nil
 }
 
+// kill ends the daemon without leaving, as a crash does.
+func (d *Daemon) kill() { close(d.killed) }
+
 // kill ends a daemon at once, as a crash would: no drain, no farewell.
 func (f *fleet) kill(i int) {
 	f.daemons[i].kill()
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -155,6 +155,11 @@
 func (d *Daemon) install(x context.Context, hash string, b []byte) (*content, error) {
 	k := d.compile(hash, b)
 	d.event(x, event.ContentFetched, slog.String("Content", hash), slog.Int("Bytes", len(b)))
+	if k.refusal != nil {
+		d.event(x, event.CannotStage, slog.String("Content", hash), slog.String("Cause", k.refusal.Error()))
+	} else {
+		d.event(x, event.Staged, slog.String("Content", hash))
+	}
 	return k, d.do(x, func(c *control) {
 		c.contents[hash] = k
 		c.advance()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -205,6 +205,3 @@
 		<-sent
 	}
 }
-
-// kill ends the daemon without leaving, as a crash does.
-func (d *Daemon) kill() { close(d.killed) }
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -29,10 +29,26 @@
 	began     time.Time
 }
 
+// Bounds of what the head and the audit trail keep, in bytes.
+const (
+	submitterMax = 128
+	reasonMax    = 1024
+)
+
+func (s submission) valid() *result.Error {
+	if !change.ValidID(s.id) {
+		return result.New(result.BadChangeID, "change id %q", s.id)
+	}
+	if len(s.submitter) > submitterMax || len(s.reason) > reasonMax {
+		return result.New(result.TextTooLong, "submitter of %d and reason of %d bytes", len(s.submitter), len(s.reason))
+	}
+	return nil
+}
+
 // submit takes a submission all the way and shows each step.
 func (d *Daemon) submit(x context.Context, s submission, show func(progress)) {
-	if !change.ValidID(s.id) {
-		show(progress{step: stepRefused, err: result.New(result.BadChangeID, "change id %q", s.id)})
+	if err := s.valid(); err != nil {
+		show(progress{step: stepRefused, err: err})
 		return
 	}
 	_ = d.do(x, func(c *control) { c.finishing[s.id] = true })
@@ -117,7 +133,9 @@
 		return change.Head{}, err
 	}
 	t := &draft{submission: s, data: b, hash: site.Hash(b), config: f, on: s.on, read: s.on > 0}
-	_ = d.do(x, func(c *control) { c.contents[t.hash] = d.compile(t.hash, b) })
+	if _, err := d.install(x, t.hash, b); err != nil {
+		return change.Head{}, err
+	}
 	r := d.random()
 	var w time.Duration
 	for {
--- a/event/event.go
+++ b/event/event.go
@@ -15,7 +15,6 @@
 	Ready
 	Draining
 	Ended
-	Listening
 )
 
 // Events of changes.
@@ -29,6 +28,7 @@
 	TakenOver
 	ContentFetched
 	SubmissionRefused
+	CannotStage
 )
 
 // Events of membership and workers.
@@ -66,7 +66,6 @@
 		{Ready, "Ready", slog.LevelInfo, "The daemon has a configuration and takes calls."},
 		{Draining, "Draining", slog.LevelInfo, "The daemon is leaving: no new work, requests in flight finish."},
 		{Ended, "Ended", slog.LevelInfo, "The daemon has ended."},
-		{Listening, "Listening", slog.LevelInfo, "An address is listened on."},
 		{Proposed, "Proposed", slog.LevelInfo, "A change was proposed and is being staged."},
 		{Staged, "Staged", slog.LevelInfo, "This instance compiled a proposed configuration."},
 		{Refused, "Refused", slog.LevelWarn, "A proposed change was refused; nothing changed."},
@@ -76,6 +75,7 @@
 		{TakenOver, "TakenOver", slog.LevelWarn, "This daemon finishes a change whose coordinator is gone."},
 		{ContentFetched, "ContentFetched", slog.LevelDebug, "A content was fetched by its hash."},
 		{SubmissionRefused, "SubmissionRefused", slog.LevelWarn, "A submission was refused before it was proposed."},
+		{CannotStage, "CannotStage", slog.LevelWarn, "This instance cannot serve a configuration, and refuses to stage it."},
 		{InstanceChanged, "InstanceChanged", slog.LevelDebug, "An instance announced another state."},
 		{InstanceSuspected, "InstanceSuspected", slog.LevelInfo, "An instance did not answer a probe."},
 		{InstanceDead, "InstanceDead", slog.LevelWarn, "A suspected instance did not refute in time."},
--- a/result/code.go
+++ b/result/code.go
@@ -35,6 +35,7 @@
 	Unchanged
 	BadChangeID
 	NotReady
+	TextTooLong
 )
 
 // Codes of calls.
@@ -117,6 +118,7 @@
 		{Unchanged, "Unchanged", "The submitted files are those in force; no new version was made."},
 		{BadChangeID, "BadChangeID", "A change id has 1 to 64 letters, digits, '-' or '_'."},
 		{NotReady, "NotReady", "The daemon does not know yet what is in force."},
+		{TextTooLong, "TextTooLong", "The submitter has at most 128 bytes, the reason at most 1024."},
 
 		{NoRoute, "NoRoute", "No route matches the request; it was not run."},
 		{NoConfiguration, "NoConfiguration", "The daemon has no configuration yet; the request was not run."},
