--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -76,17 +76,21 @@
 		whole += time.Since(t)
 	}
 	bytes := float64(f.controlBytes() - w)
-	slices.Sort(took)
+	reportQuantiles(b, took)
+	b.ReportMetric(float64(whole.Microseconds())/1000/benchChanges, "submit-ms")
+	b.ReportMetric(bytes/benchChanges/float64(n), "change-B/instance")
+	b.ReportMetric(float64(f.store.Counts().Calls()-c)/benchChanges, "platform-calls/change")
+	f.close()
+}
+
+func reportQuantiles(b *testing.B, l []time.Duration) {
+	slices.Sort(l)
 	ms := func(q float64) float64 {
-		return float64(took[min(len(took)-1, int(q*float64(len(took))))].Microseconds()) / 1000
+		return float64(l[min(len(l)-1, int(q*float64(len(l))))].Microseconds()) / 1000
 	}
 	b.ReportMetric(ms(0.5), "converge-p50-ms")
 	b.ReportMetric(ms(0.99), "converge-p99-ms")
 	b.ReportMetric(ms(1), "converge-max-ms")
-	b.ReportMetric(float64(whole.Microseconds())/1000/benchChanges, "submit-ms")
-	b.ReportMetric(bytes/benchChanges/float64(n), "change-B/instance")
-	b.ReportMetric(float64(f.store.Counts().Calls()-c)/benchChanges, "platform-calls/change")
-	f.close()
 }
 
 // change submits version n and returns how long after acceptance each daemon
