--- a/contract/deadline.go
+++ b/contract/deadline.go
@@ -22,10 +22,10 @@
 	if err != nil || m < 0 {
 		return d, result.New(result.BadDeadline, "%s is %q, not a number of milliseconds", DeadlineHeader, text)
 	}
-	if c := time.Duration(m) * time.Millisecond; c < limit {
-		return now.Add(c), nil
+	if m > limit.Milliseconds() { // also keeps the product below from overflowing
+		return d, nil
 	}
-	return d, nil
+	return now.Add(time.Duration(m) * time.Millisecond), nil
 }
 
 // Remaining returns the deadline header for a request sent on at now. It
--- /dev/null
+++ b/link/choose_test.go
@@ -0,0 +1,95 @@
+package link_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/link"
+)
+
+// loaded returns a peer with n requests of this daemon in flight.
+func loaded(n int) *link.Peer {
+	p := &link.Peer{}
+	for range n {
+		p.Begin()
+	}
+	return p
+}
+
+// TestChoose draws a thousand choices and shows which candidates they hit.
+func TestChoose(t *testing.T) {
+	near := func(n string, load int) link.Candidate {
+		return link.Candidate{Name: n, Slots: 4, SameSite: true, Peer: loaded(load)}
+	}
+	far := func(n string, load int) link.Candidate {
+		return link.Candidate{Name: n, Slots: 4, Peer: loaded(load)}
+	}
+	cases := []struct {
+		name  string
+		all   []link.Candidate
+		tried []string
+		want  []string
+	}{
+		{"nobody", nil, nil, nil},
+		{"near ones while they have slots", []link.Candidate{far("f", 0), near("a", 3), near("b", 3)}, nil, []string{"a", "b"}},
+		{"far ones once the near are full", []link.Candidate{far("f", 1), near("a", 4)}, nil, []string{"f"}},
+		{"near ones when the far are fuller", []link.Candidate{far("f", 9), near("a", 4)}, nil, []string{"a"}},
+		{"only far ones", []link.Candidate{far("f", 9)}, nil, []string{"f"}},
+		{"not those that were tried", []link.Candidate{near("a", 0), near("b", 1), far("f", 0)}, []string{"a"}, []string{"b"}},
+		{"far ones when all near were tried", []link.Candidate{near("a", 0), far("f", 0)}, []string{"a"}, []string{"f"}},
+		{"nobody when all were tried", []link.Candidate{near("a", 0)}, []string{"a"}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 1))
+			l := link.NewCandidates(c.all)
+			hit := make(map[string]bool)
+			for range 1000 {
+				if k := l.Choose(r, c.tried); k != nil {
+					hit[k.Name] = true
+				}
+			}
+			want := make(map[string]bool)
+			for _, n := range c.want {
+				want[n] = true
+			}
+			if d := cmp.Diff(want, hit); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
+// TestSpreads sends requests that stay in flight: the choice of the better of
+// two keeps the instances close together, where a single random one would not.
+func TestSpreads(t *testing.T) {
+	var l []link.Candidate
+	for _, n := range []string{"a", "b", "c", "d"} {
+		l = append(l, link.Candidate{Name: n, Slots: 100, SameSite: true, Peer: &link.Peer{}})
+	}
+	c := link.NewCandidates(l)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		c.Choose(r, nil).Peer.Begin()
+	}
+	for _, k := range l {
+		if n := k.Peer.Load(); n < 45 || n > 55 {
+			t.Errorf("%s has %d of 200", k.Name, n)
+		}
+	}
+}
+
+func TestLoadRidesOnAnswers(t *testing.T) {
+	p := loaded(2)
+	var got []int64
+	for _, s := range []string{"7", "", "x", "-1", "0"} {
+		p.Begin()
+		p.End(s)
+		got = append(got, p.Load())
+	}
+	if d := cmp.Diff([]int64{7, 7, 7, 7, 2}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
