--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -131,9 +131,11 @@
 		StageLimit:      settings.Duration(stageLimit),
 		DrainLimit:      settings.Duration(drainLimit),
 	}
-	if err := m.startDaemon(x, k); err != nil {
+	d, err := m.startDaemon(x, k)
+	if err != nil {
 		return err
 	}
+	k.Settings = d.Settings() // with the addresses that it got; they stay
 	l, err := net.Listen("tcp", callHost)
 	if err != nil {
 		return demoError.Wrap(err)
@@ -142,7 +144,7 @@
 	return nil
 }
 
-func (m *Mesh) startDaemon(x context.Context, k *Instance) error {
+func (m *Mesh) startDaemon(x context.Context, k *Instance) (*daemon.Daemon, error) {
 	m.seed++
 	d, err := daemon.New(daemon.Options{
 		Settings: k.Settings,
@@ -153,14 +155,13 @@
 		Listen:   m.listen,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	k.Settings = d.Settings()
 	y, stop := context.WithCancel(x)
 	k.stop = stop
 	k.ended = make(chan error, 1)
 	go func() { k.ended <- d.Run(y) }()
-	return nil
+	return d, nil
 }
 
 // Restart lets the daemon of k leave and starts it again at its addresses.
@@ -169,7 +170,8 @@
 	if err := <-k.ended; err != nil {
 		return demoError.Wrap(err)
 	}
-	return m.startDaemon(x, k)
+	_, err := m.startDaemon(x, k)
+	return err
 }
 
 // Close ends what x did not end yet and waits for everything.
