An instance that the report does not speak of has not staged

Cause: read once more: the verdict took the tree's word that whoever is neither behind nor unreached has staged. A delegate of another build that drops targets would have passed. The coordinator knows how many are live; now it counts. Also: a test of the metrics endpoint. Measured: a new row of TestDecide ('one is not spoken of') got Accept before and Wait now; all tests pass.

--- a/change/change_test.go
+++ b/change/change_test.go
@@ -35,6 +35,7 @@
 		{"all staged", 0, change.Report{Acks: ok}, change.Accept, 0},
 		{"one is behind", 0, change.Report{Acks: ok, Behind: []string{"i-9"}}, change.Wait, 0},
 		{"one is unreached", 0, change.Report{Acks: ok, Unreached: []string{"i-9"}}, change.Wait, 0},
+		{"one is not spoken of", 0, change.Report{Acks: []change.Ack{{Site: "a", Staged: 1}, {Site: "b", Staged: 1}}}, change.Wait, 0},
 		{"a site with nobody", 0, change.Report{Acks: ok[:1]}, change.Wait, 0},
 		{"nobody at all", 0, change.Report{}, change.Wait, 0},
 		{"one refuses", 0, change.Report{Acks: ok, Refusals: []change.Refusal{{Instance: "i-2", Site: "b", Code: result.UnknownSite}}}, change.Refuse, result.StageRefused},
@@ -44,7 +45,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			v, err := change.Decide(noon.Add(c.after), proposal("p"), []string{"a", "b"}, c.report)
+			v, err := change.Decide(noon.Add(c.after), proposal("p"), []string{"a", "b"}, 3, c.report)
 			var g result.Code
 			if err != nil {
 				g = err.Code
--- a/change/decide.go
+++ b/change/decide.go
@@ -43,6 +43,15 @@
 	return 0
 }
 
+// staged returns how many instances have staged.
+func (r Report) staged() int {
+	var n int
+	for _, a := range r.Acks {
+		n += a.Staged
+	}
+	return n
+}
+
 // Add returns the sum of two reports.
 func (r Report) Add(o Report) Report {
 	m := slices.Clone(r.Acks)
@@ -77,10 +86,11 @@
 )
 
 // Decide returns the verdict on p at the time now. The report r is that of
-// the live instances; sites are those that the configuration lists. One
+// the live instances, of which there are that many: one that the report does
+// not speak of has not staged. Sites are those that the configuration lists. One
 // refusal refuses the whole change, and so does the deadline. Until then an
 // instance that is live and silent is waited for; one that died is not in r.
-func Decide(now time.Time, p Proposal, sites []string, r Report) (Verdict, *result.Error) {
+func Decide(now time.Time, p Proposal, sites []string, live int, r Report) (Verdict, *result.Error) {
 	if len(r.Refusals) > 0 {
 		f := r.Refusals[0]
 		return Refuse, result.New(result.StageRefused, "%s at site %s refused: %s: %s", f.Instance, f.Site, f.Code, f.Text)
@@ -91,7 +101,7 @@
 			m = append(m, s)
 		}
 	}
-	w := len(m) > 0 || len(r.Behind)+len(r.Unreached) > 0
+	w := len(m) > 0 || len(r.Behind)+len(r.Unreached) > 0 || r.staged() < live
 	if !w && now.Before(p.Deadline) {
 		return Accept, nil
 	}
--- a/change/model_test.go
+++ b/change/model_test.go
@@ -115,10 +115,12 @@
 	var r change.Report
 	// One of the others may be taken for dead, rightly or not.
 	dead := rapid.IntRange(0, 2*len(m.staged)).Draw(t, "dead")
+	live := 0
 	for j := range m.staged {
 		if j == dead && j != i {
 			continue
 		}
+		live++
 		s := 0
 		if m.staged[j][a.read.Proposed.Content] {
 			s = 1
@@ -127,7 +129,7 @@
 		}
 		r = r.Add(change.Report{Acks: []change.Ack{{Site: "a", Staged: s}}})
 	}
-	switch v, e := change.Decide(m.now, a.read.Proposed, []string{"a"}, r); v {
+	switch v, e := change.Decide(m.now, a.read.Proposed, []string{"a"}, live, r); v {
 	case change.Accept:
 		h := a.read.WithAcceptance()
 		a.write = &h
--- a/cmd/figwheel/main_test.go
+++ b/cmd/figwheel/main_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -140,6 +142,27 @@
 			t.Errorf("figwheel %s: exit code %d, want %d and %q\n%s", c.args, code, c.code, c.want, o)
 		}
 	}
+	m := metrics(t, d)
+	for _, l := range []string{"figwheel_version 2\n", "figwheel_changes_total{code=\"accepted\"} ", "figwheel_control_sent_bytes_total ", "figwheel_platform_calls_total "} {
+		if !strings.Contains(m, l) {
+			t.Errorf("no %q among the metrics\n%s", l, m)
+		}
+	}
+}
+
+// metrics returns what a daemon shows to Prometheus.
+func metrics(t *testing.T, address string) string {
+	t.Helper()
+	p, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
 }
 
 // TestByHandSettings keeps the settings of the by-hand session valid.
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -186,7 +186,7 @@
 			return h, err
 		}
 		show(r)
-		v, e := change.Decide(d.now(), h.Proposed, d.sitesOf(x, h.Proposed.Content), r.report)
+		v, e := change.Decide(d.now(), h.Proposed, d.sitesOf(x, h.Proposed.Content), len(r.live), r.report)
 		switch v {
 		case change.Accept:
 			h = h.WithAcceptance()
--- a/demo/load.go
+++ b/demo/load.go
@@ -18,13 +18,12 @@
 )
 
 const (
-	callers     = 32
-	workTime    = 2 * time.Millisecond
-	thinkTime   = 8 * time.Millisecond // mean pause of a caller
-	callTime    = 10 * time.Second
-	bodyBytes   = 200
-	answerMax   = 1 << 20
-	ownDataBase = 16
+	callers   = 32
+	workTime  = 2 * time.Millisecond
+	thinkTime = 8 * time.Millisecond // mean pause of a caller
+	callTime  = 10 * time.Second
+	bodyBytes = 200
+	answerMax = 1 << 20
 )
 
 // kind is one kind of request that callers send.
