A submission that wrote nothing is refused, not unknown

Measured: TestBootWithoutPlatform, with the check added, got 'Unknown FW2006' before and 'Refused FW4001 ... nothing changed' after.

--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -229,6 +229,11 @@
 		}
 	}
 	f.store.SetFaults(platformtest.Faults{Down: true})
+	// A submission that gave up before it wrote anything is known to be refused.
+	p := last(f.submission(0, submission{id: "down", bundle: bundle(2, 2, 9), began: time.Now().Add(-2 * proposeTime)}))
+	if p.step != stepRefused || p.err.Code != result.PlatformUnavailable {
+		t.Errorf("submitted while the platform is down: %s %v", p.step, p.err)
+	}
 	var seeds []string
 	for _, d := range f.daemons {
 		seeds = append(seeds, d.Settings().PeerAddress)
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -116,6 +116,7 @@
 	hash   string
 	config site.Configuration
 	stored bool
+	tried  bool // whether the head was written, with whatever outcome
 	on     uint64
 	read   bool // whether on is known
 }
@@ -143,6 +144,9 @@
 		if err == nil || !passing(err) {
 			return h, err
 		}
+		if d.now().Sub(s.began) > proposeTime && !t.tried {
+			return h, result.Wrap(result.PlatformUnavailable, err, "not proposed within %s; nothing changed", proposeTime)
+		}
 		if d.now().Sub(s.began) > proposeTime {
 			return h, result.Wrap(result.OutcomeUnknown, err, "not proposed within %s", proposeTime)
 		}
@@ -196,6 +200,7 @@
 		}
 		t.stored = true
 	}
+	t.tried = true
 	return n, d.writeHead(x, o, n)
 }
 
