Leaving drops no request that is read late: Shutdown is not used for calls

Under load many are. Change: the states of connections are followed; listening stops, active ones and those younger than a second are waited for, then the server is closed.

--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -1,66 +1,104 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-const (
-	lastAccept = 500 * time.Microsecond // in which nobody connects before an address is given up
-	retireTime = 500 * time.Millisecond // after which it is given up all the same
-)
-
 // lastingListener is a listener that can be given up without losing whom it has
 // not accepted yet. Closing a listener resets the connections in its queue,
 // and with them requests that their callers have sent already and must then
-// hold for lost; http.Server.Shutdown starts with just that. Retiring it
-// accepts until the queue is empty and closes it in the next moment.
+// hold for lost; http.Server.Shutdown starts with just that. Retiring it takes
+// what is in the queue and stops listening with the next system call: waiting
+// for a pause and closing then loses whoever connects while this process waits
+// for the processor.
 type lastingListener struct {
 	net.Listener
-	retired atomic.Pointer[time.Time] // since when, nil before
-	ended   chan struct{}             // closed when no connection will be accepted any more
+	retired atomic.Bool
+	last    []net.Conn    // taken from the queue at the end
+	ended   chan struct{} // closed when no connection will be accepted any more
+}
+
+// bounded is what a TCP listener can do beyond net.Listener.
+type bounded interface {
+	SetDeadline(t time.Time) error
+	SyscallConn() (syscall.RawConn, error)
 }
 
 func newLastingListener(l net.Listener) *lastingListener {
 	return &lastingListener{Listener: l, ended: make(chan struct{})}
 }
 
-// deadliner is a listener whose Accept can be bounded.
-type deadliner interface{ SetDeadline(t time.Time) error }
-
-// retire accepts what is in the queue and closes the listener. It returns when
-// the server has taken the last connection.
+// retire stops listening. It returns when the server has taken the last
+// connection.
 func (l *lastingListener) retire() {
-	t := time.Now()
-	l.retired.Store(&t)
-	l.bound()
-	<-l.ended
-}
-
-// bound lets the next Accept end soon, or now if it cannot be bounded.
-func (l *lastingListener) bound() {
-	d, ok := l.Listener.(deadliner)
-	if !ok || d.SetDeadline(time.Now().Add(lastAccept)) != nil {
+	l.retired.Store(true)
+	b, ok := l.Listener.(bounded)
+	if !ok || b.SetDeadline(time.Unix(1, 0)) != nil {
 		_ = l.Close()
 	}
+	<-l.ended
 }
 
 // Accept implements net.Listener.
 func (l *lastingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	t := l.retired.Load()
-	switch {
-	case t == nil:
-		return c, err
-	case err != nil:
-		_ = l.Close()
+	if len(l.last) == 0 {
+		c, err := l.Listener.Accept()
+		if err == nil || !l.retired.Load() {
+			return c, err
+		}
+		l.empty()
+	}
+	if len(l.last) == 0 {
 		return nil, http.ErrServerClosed
-	case time.Since(*t) > retireTime:
-		_ = l.Close()
-	default:
-		l.bound()
 	}
+	c := l.last[0]
+	l.last = l.last[1:]
 	return c, nil
 }
+
+// empty takes the whole queue and stops listening.
+func (l *lastingListener) empty() {
+	b, ok := l.Listener.(bounded)
+	if !ok {
+		return
+	}
+	r, err := b.SyscallConn()
+	if err != nil {
+		return // it is closed: this is the second time
+	}
+	var queue []int
+	_ = r.Control(func(fd uintptr) {
+		queue = acceptAll(int(fd))
+		_ = syscall.Shutdown(int(fd), syscall.SHUT_RD)
+	})
+	_ = l.Close()
+	for _, q := range queue {
+		f := os.NewFile(uintptr(q), "")
+		if c, err := net.FileConn(f); err == nil {
+			l.last = append(l.last, c)
+		}
+		_ = f.Close() // the connection has a descriptor of its own
+	}
+}
+
+// acceptAll returns the descriptors of all connections in the queue of a
+// listener that does not block.
+func acceptAll(fd int) []int {
+	var r []int
+	for {
+		n, _, err := syscall.Accept4(fd, syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if err != nil {
+			return r
+		}
+		r = append(r, n)
+	}
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -84,11 +84,22 @@
 
 type server struct {
 	*http.Server
-	listener *lastingListener
+	listener    *lastingListener
+	connections *connections
+}
+
+// finish stops listening, lets every request be answered and ends.
+func (s *server) finish(x context.Context) error {
+	s.listener.retire()
+	for s.connections.busy(time.Now()) && pause(x, drainPoll) {
+		continue
+	}
+	return s.Close()
 }
 
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newLastingListener(a)
+	c := &connections{}
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
@@ -98,6 +109,7 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytesMax,
+		ConnState:         c.changed,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 	s.group.Go(func() error {
@@ -107,7 +119,7 @@
 		}
 		return nil
 	})
-	return &server{v, l}
+	return &server{v, l, c}
 }
 
 func (d *Daemon) serve() *servers {
@@ -184,10 +196,7 @@
 	}
 	var g errgroup.Group
 	for _, v := range s.work {
-		g.Go(func() error {
-			v.listener.retire()
-			return v.Shutdown(x)
-		})
+		g.Go(func() error { return v.finish(x) })
 	}
 	_ = g.Wait()
 	d.sayLeft(x)
