Answering a probe no longer draws, and loses, news for a request never sent

Cause: read once more: each answered exchange also built a request for an indirect probe that was mostly not asked for: a second digest of the table, and news counted as handed out that went nowhere. The second step of a repair drew news and then replaced it. Also an unused method of Record, and the loop over the fleet sizes that stood three times in the benchmarks.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -22,6 +22,17 @@
 	quietTime     = 10 * time.Second
 )
 
+// eachSize runs f for fleets of each size.
+func eachSize(b *testing.B, f func(b *testing.B, n int)) {
+	for _, n := range benchSizes() {
+		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
+			for range b.N {
+				f(b, n)
+			}
+		})
+	}
+}
+
 func benchSizes() []int { return []int{10, 50, 100, 200} }
 
 func (f *fleet) controlBytes() int64 {
@@ -55,13 +66,7 @@
 // BenchmarkConverge measures how long accepted changes take to be served by
 // every daemon, and what carrying them costs.
 func BenchmarkConverge(b *testing.B) {
-	for _, n := range benchSizes() {
-		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
-			for range b.N {
-				converge(b, n)
-			}
-		})
-	}
+	eachSize(b, converge)
 }
 
 func converge(b *testing.B, n int) {
@@ -133,13 +138,7 @@
 
 // BenchmarkQuiet measures what daemons cost while nothing changes.
 func BenchmarkQuiet(b *testing.B) {
-	for _, n := range benchSizes() {
-		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
-			for range b.N {
-				quiet(b, n)
-			}
-		})
-	}
+	eachSize(b, quiet)
 }
 
 func quiet(b *testing.B, n int) {
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -73,12 +73,18 @@
 // exchangeRequest returns what goes to the next peer: the news, and for the
 // first peer of all everything, which is only this instance.
 func (c *control) exchangeRequest() *peerpb.ExchangeRequest {
+	return c.requestWith(append(c.table.News(), c.table.Self()))
+}
+
+// requestWith returns a request that carries the records l. It draws no news:
+// news that is drawn counts as handed out.
+func (c *control) requestWith(l []instance.Record) *peerpb.ExchangeRequest {
 	return &peerpb.ExchangeRequest{
 		From:   c.d.settings.Instance,
 		Digest: c.table.Digest(),
 		Full:   !c.joined(),
 		Head:   peer.FromHead(c.known.Head),
-		News:   peer.FromRecords(append(c.table.News(), c.table.Self())),
+		News:   peer.FromRecords(l),
 	}
 }
 
@@ -124,8 +130,7 @@
 		}
 		var n *peerpb.ExchangeRequest
 		err = c.d.do(x, func(c *control) {
-			n = c.exchangeRequest()
-			n.News = peer.FromRecords(c.table.In(p.GetDiffering()))
+			n = c.requestWith(c.table.In(p.GetDiffering()))
 			c.absorb(peer.ToRecords(p.GetNews()))
 		})
 		if err == nil && len(n.GetNews()) > 0 {
@@ -163,9 +168,11 @@
 	var n *peerpb.ExchangeRequest
 	err := d.do(x, func(c *control) {
 		p = c.answer(q)
-		n = c.exchangeRequest()
+		if q.GetProbeAddress() != "" {
+			n = c.exchangeRequest()
+		}
 	})
-	if err != nil || q.GetProbeAddress() == "" {
+	if err != nil || n == nil {
 		return p, err
 	}
 	_, err = d.ask(x, exchangeTime, q.GetProbeAddress(), n)
--- a/daemon/storm_bench_test.go
+++ b/daemon/storm_bench_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -10,13 +9,7 @@
 // return at one moment, at their addresses, agree on each other and serve what
 // is in force, and what that asks of the platform.
 func BenchmarkStorm(b *testing.B) {
-	for _, n := range benchSizes() {
-		b.Run(fmt.Sprintf("instances=%d/way=figwheel", n), func(b *testing.B) {
-			for range b.N {
-				storm(b, n)
-			}
-		})
-	}
+	eachSize(b, storm)
 }
 
 func storm(b *testing.B, n int) {
--- a/instance/record.go
+++ b/instance/record.go
@@ -65,13 +65,6 @@
 	return Signature{r.Site, r.PeerAddress, r.LinkAddress, r.Service, r.State, r.Health == Dead, r.Slots}
 }
 
-// WithState returns the record at the next incarnation with the state s.
-func (r Record) WithState(s State) Record {
-	r.State = s
-	r.Incarnation++
-	return r
-}
-
 // newer tells whether r replaces o.
 func (r Record) newer(o Record) bool {
 	if r.Incarnation != o.Incarnation {
