The platform client speaks the users' store protocol; store keeps the formats

Cause: the client spoke an object API of our own making; the users' platform keeps objects by kind and name with revisions, paged lists and long polls. What is kept there (contents, audit records, the Store interface) moved to package store, so that platform/ is the adapter alone; the stand-in serves the users' protocol over the same in-memory store. Keys have one slash: kind and name. Ruled out: values as raw JSON, which a store may write differently, so that a roster would differ from itself for ever; they are base64 strings.

An answer 503 is a write that was not done (FW4009), 410 is lost history (FW4008).

--- a/daemon/baseline_bench_test.go
+++ b/daemon/baseline_bench_test.go
@@ -16,6 +16,7 @@
 	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -73,7 +74,7 @@
 		p.b.Fatal(err)
 	}
 	x := context.Background()
-	h, err := platform.PutContent(x, p.store, b)
+	h, err := store.PutContent(x, p.store, b)
 	if err != nil {
 		p.b.Fatal(err)
 	}
@@ -91,7 +92,7 @@
 
 func (p *baseline) watch(x context.Context, c platform.Client, i int) {
 	for x.Err() == nil {
-		_ = c.Watch(x, change.HeadKey, "", func(e platform.Event) error { return p.take(x, c, i, e.Object) })
+		_ = c.Watch(x, change.HeadKey, "", func(e store.Event) error { return p.take(x, c, i, e.Object) })
 	}
 }
 
@@ -105,12 +106,12 @@
 }
 
 // take fetches, checks and compiles what the head names, as a daemon does.
-func (p *baseline) take(x context.Context, c platform.Client, i int, o platform.Object) error {
+func (p *baseline) take(x context.Context, c platform.Client, i int, o store.Object) error {
 	h, err := change.DecodeHead(o.Value)
 	if err != nil || h.InForce.Number <= p.served[i].Load() {
 		return err
 	}
-	d, err := platform.GetContent(x, c, h.InForce.Content)
+	d, err := store.GetContent(x, c, h.InForce.Content)
 	if err != nil {
 		return err
 	}
--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -10,13 +10,13 @@
 
 	"figwheel/change"
 	"figwheel/event"
-	"figwheel/platform"
 	"figwheel/result"
+	"figwheel/store"
 )
 
 const (
 	controlPrefix = "control/"
-	rosterPrefix  = controlPrefix + "roster/"
+	rosterPrefix  = controlPrefix + "roster-"
 
 	bootWaitMin = 50 * time.Millisecond
 	bootWaitMax = 3 * time.Second
@@ -71,7 +71,7 @@
 }
 
 // listed takes in the control objects of the platform.
-func (c *control) listed(l platform.Listing) {
+func (c *control) listed(l store.Listing) {
 	c.platformAnswered(nil)
 	for _, o := range l.Objects {
 		c.object(o)
@@ -156,7 +156,7 @@
 	})
 }
 
-func (c *control) object(o platform.Object) {
+func (c *control) object(o store.Object) {
 	switch {
 	case o.Key == change.HeadKey:
 		h, err := change.DecodeHead(o.Value)
@@ -170,7 +170,7 @@
 }
 
 // join gets in touch with some of the roster that are not known to live.
-func (c *control) join(o platform.Object) {
+func (c *control) join(o store.Object) {
 	var r roster
 	if json.Unmarshal(o.Value, &r) != nil {
 		return
@@ -242,7 +242,7 @@
 	if err := d.do(x, func(c *control) { c.listed(l) }); err != nil {
 		return err
 	}
-	return d.store.Watch(x, controlPrefix, l.Revision, func(e platform.Event) error {
+	return d.store.Watch(x, controlPrefix, l.Revision, func(e store.Event) error {
 		return d.do(x, func(c *control) { c.object(e.Object) })
 	})
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -11,9 +11,9 @@
 	"figwheel/event"
 	"figwheel/instance"
 	"figwheel/link"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/site"
+	"figwheel/store"
 	"figwheel/upstream"
 )
 
@@ -51,7 +51,7 @@
 	platformUp bool // the head was read from the platform
 	reachable  bool // the platform answered last time
 	answered   map[string]bool
-	rosters    map[string]platform.Object
+	rosters    map[string]store.Object
 	rosterAt   time.Time
 	aloneAt    time.Time // from when a daemon that knows nobody acts
 	joinAt     time.Time // when the rosters are gone through next
@@ -89,7 +89,7 @@
 		contents:  make(map[string]*content),
 		fetching:  make(map[string]bool),
 		answered:  make(map[string]bool),
-		rosters:   make(map[string]platform.Object),
+		rosters:   make(map[string]store.Object),
 		finishing: make(map[string]bool),
 		reachable: true,
 		changed:   make(chan struct{}),
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -14,9 +14,9 @@
 	"figwheel/instance"
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -104,7 +104,7 @@
 		base = o.data
 		q.DeltaBase = o.hash
 	}
-	z, err := platform.Compress(n.data, base)
+	z, err := store.Compress(n.data, base)
 	if err != nil {
 		return
 	}
@@ -123,11 +123,11 @@
 }
 
 // readHead returns the head object and its version.
-func (d *Daemon) readHead(x context.Context) (platform.Object, change.Head, error) {
+func (d *Daemon) readHead(x context.Context) (store.Object, change.Head, error) {
 	o, err := d.store.Get(x, change.HeadKey)
 	_ = d.do(x, func(c *control) { c.platformAnswered(err) })
 	if result.CodeOf(err) == result.NotFound {
-		return platform.Object{Key: change.HeadKey, Version: platform.Absent}, change.Head{}, nil
+		return store.Object{Key: change.HeadKey, Version: store.Absent}, change.Head{}, nil
 	}
 	if err != nil {
 		return o, change.Head{}, err
@@ -137,7 +137,7 @@
 }
 
 // writeHead writes h if the head object is still the one that was read as o.
-func (d *Daemon) writeHead(x context.Context, o platform.Object, h change.Head) error {
+func (d *Daemon) writeHead(x context.Context, o store.Object, h change.Head) error {
 	b, err := h.Encode()
 	if err != nil {
 		return err
@@ -178,7 +178,7 @@
 
 // decide delivers the proposal until there is a verdict, writes it and returns
 // the head with it. After any error the head tells what became of it.
-func (d *Daemon) decide(x context.Context, o platform.Object, h change.Head, random *rand.Rand, show func(round)) (change.Head, error) {
+func (d *Daemon) decide(x context.Context, o store.Object, h change.Head, random *rand.Rand, show func(round)) (change.Head, error) {
 	var w time.Duration
 	for {
 		r, err := d.deliver(x, h)
@@ -342,7 +342,7 @@
 	if p.ChangeID == "" {
 		return
 	}
-	a := platform.Audit{
+	a := store.Audit{
 		ChangeID:     p.ChangeID,
 		Step:         step,
 		Submitter:    p.Submitter,
@@ -352,17 +352,17 @@
 		SitesChanged: p.Sites,
 	}
 	if u.Code != 0 {
-		a.Problems = []platform.AuditProblem{{Code: u.Code, Text: u.Text}}
+		a.Problems = []store.AuditProblem{{Code: u.Code, Text: u.Text}}
 	}
 	d.putAudit(x, p.ProposedAt, a)
 }
 
-func (d *Daemon) putAudit(x context.Context, began time.Time, a platform.Audit) {
+func (d *Daemon) putAudit(x context.Context, began time.Time, a store.Audit) {
 	now := d.now()
 	a.Time = now
 	a.ElapsedMs = now.Sub(began).Milliseconds()
 	a.Instance = d.settings.Instance
-	if err := platform.PutAudit(x, d.store, began, a); err != nil {
+	if err := store.PutAudit(x, d.store, began, a); err != nil {
 		d.event(x, event.AuditFailed, slog.String("ChangeID", a.ChangeID), slog.String("Cause", err.Error()))
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,17 +16,17 @@
 	"figwheel/event"
 	"figwheel/metric"
 	"figwheel/peer"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/settings"
 	"figwheel/site"
+	"figwheel/store"
 	"figwheel/upstream"
 )
 
 // Options are what a daemon is made of.
 type Options struct {
 	Settings settings.Settings
-	Store    platform.Store
+	Store    store.Store
 	Log      *slog.Logger
 	Now      func() time.Time
 	Seed     uint64 // of all random choices
@@ -170,29 +170,29 @@
 
 // countedStore counts the calls of the platform.
 type countedStore struct {
-	platform.Store
+	store.Store
 	calls atomic.Int64
 }
 
-func (s *countedStore) Get(x context.Context, key string) (platform.Object, error) {
+func (s *countedStore) Get(x context.Context, key string) (store.Object, error) {
 	s.calls.Add(1)
 	return s.Store.Get(x, key)
 }
 
-func (s *countedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+func (s *countedStore) Put(x context.Context, key, version string, value []byte) (store.Object, error) {
 	s.calls.Add(1)
 	return s.Store.Put(x, key, version, value)
 }
 
-func (s *countedStore) List(x context.Context, prefix string) (platform.Listing, error) {
+func (s *countedStore) List(x context.Context, prefix string) (store.Listing, error) {
 	s.calls.Add(1)
 	return s.Store.List(x, prefix)
 }
 
-func (s *countedStore) Watch(x context.Context, prefix, revision string, f func(platform.Event) error) error {
+func (s *countedStore) Watch(x context.Context, prefix, revision string, f func(store.Event) error) error {
 	s.calls.Add(1)
 	return s.Store.Watch(x, prefix, revision, f)
 }
 
 // compressed returns the content as peers fetch it.
-func (k *content) compressed() ([]byte, error) { return platform.Compress(k.data, nil) }
+func (k *content) compressed() ([]byte, error) { return store.Compress(k.data, nil) }
--- a/daemon/fault_test.go
+++ b/daemon/fault_test.go
@@ -8,22 +8,22 @@
 	"time"
 
 	"figwheel/change"
-	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/result"
 	"figwheel/settings"
+	"figwheel/store"
 )
 
 // hookedStore calls before and after around the writes of one daemon.
 type hookedStore struct {
-	platform.Store
+	store.Store
 	mu     sync.Mutex
 	heads  int // writes of the head so far
 	before func(key string, head int)
 	after  func(key string, head int)
 }
 
-func (s *hookedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+func (s *hookedStore) Put(x context.Context, key, version string, value []byte) (store.Object, error) {
 	s.mu.Lock()
 	if key == change.HeadKey {
 		s.heads++
@@ -78,7 +78,7 @@
 					<-f.daemons[0].stopped // the write after this is that of a dead daemon
 				}
 			}
-			f.wrap = func(name string) platform.Store {
+			f.wrap = func(name string) store.Store {
 				if name != "i-000" {
 					return f.store
 				}
@@ -116,13 +116,13 @@
 // deadStore refuses the writes of a dead daemon: this process cannot end one
 // of its goroutines, so that what a crash would not do must not be done.
 type deadStore struct {
-	platform.Store
+	store.Store
 	dead func() bool
 }
 
-func (s deadStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+func (s deadStore) Put(x context.Context, key, version string, value []byte) (store.Object, error) {
 	if s.dead() {
-		return platform.Object{}, result.New(result.PlatformUnavailable, "dead")
+		return store.Object{}, result.New(result.PlatformUnavailable, "dead")
 	}
 	return s.Store.Put(x, key, version, value)
 }
@@ -132,7 +132,7 @@
 func TestFinishedByOthers(t *testing.T) {
 	t.Parallel()
 	f := &fleet{t: t, store: &platformtest.Store{}, stageLimit: settings.Duration(15 * time.Second)}
-	f.wrap = func(name string) platform.Store {
+	f.wrap = func(name string) store.Store {
 		if name != "i-000" {
 			return f.store
 		}
@@ -157,9 +157,9 @@
 
 // unfencedStore writes under whatever version the object has: what a lease
 // without a fence would do.
-type unfencedStore struct{ platform.Store }
+type unfencedStore struct{ store.Store }
 
-func (s unfencedStore) Put(x context.Context, key, version string, value []byte) (platform.Object, error) {
+func (s unfencedStore) Put(x context.Context, key, version string, value []byte) (store.Object, error) {
 	if key == change.HeadKey {
 		if o, err := s.Get(x, key); err == nil {
 			version = o.Version
@@ -179,11 +179,11 @@
 			t.Parallel()
 			f := &fleet{t: t, store: &platformtest.Store{}}
 			resume := make(chan struct{})
-			f.wrap = func(name string) platform.Store {
+			f.wrap = func(name string) store.Store {
 				if name != "i-000" {
 					return f.store
 				}
-				var s platform.Store = f.store
+				var s store.Store = f.store
 				if !fenced {
 					s = unfencedStore{f.store}
 				}
@@ -276,7 +276,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := platform.PutContent(context.Background(), f.store, b)
+	h, err := store.PutContent(context.Background(), f.store, b)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -16,10 +16,10 @@
 
 	"figwheel/instance"
 	"figwheel/peer"
-	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/settings"
 	"figwheel/site"
+	"figwheel/store"
 	"figwheel/upstream"
 )
 
@@ -28,7 +28,7 @@
 type fleet struct {
 	t       testing.TB
 	store   *platformtest.Store
-	wrap    func(name string) platform.Store
+	wrap    func(name string) store.Store
 	daemons []*Daemon
 
 	stageLimit settings.Duration
@@ -79,7 +79,7 @@
 
 func (f *fleet) start(i int, s settings.Settings) {
 	f.t.Helper()
-	var p platform.Store = f.store
+	var p store.Store = f.store
 	if f.wrap != nil {
 		p = f.wrap(s.Instance)
 	}
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -9,9 +9,9 @@
 	"figwheel/event"
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -141,7 +141,7 @@
 func (d *Daemon) fetch(x context.Context, hash, from string) (*content, error) {
 	b, ok := d.fromPeers(x, hash, from)
 	if !ok {
-		p, err := platform.GetContent(x, d.store, hash)
+		p, err := store.GetContent(x, d.store, hash)
 		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
 		if err != nil {
 			return nil, err
@@ -208,7 +208,7 @@
 			return nil, false
 		}
 	}
-	b, err := platform.Verified(q.GetDelta(), base, hash)
+	b, err := store.Verified(q.GetDelta(), base, hash)
 	return b, err == nil
 }
 
@@ -219,7 +219,7 @@
 	if err != nil || len(z) == 0 {
 		return nil, false
 	}
-	b, err := platform.Verified(z, nil, hash)
+	b, err := store.Verified(z, nil, hash)
 	return b, err == nil
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -12,9 +12,9 @@
 	"figwheel/change"
 	"figwheel/operator/operatorpb"
 	"figwheel/peer/peerpb"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -192,7 +192,7 @@
 	if n <= 0 || n > auditMax {
 		n = auditMax
 	}
-	l, err := platform.ListAudit(x, o.d.store, o.d.now(), n)
+	l, err := store.ListAudit(x, o.d.store, o.d.now(), n)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -203,7 +203,7 @@
 	return r, nil
 }
 
-func fromAudit(a platform.Audit) *operatorpb.AuditRecord {
+func fromAudit(a store.Audit) *operatorpb.AuditRecord {
 	r := &operatorpb.AuditRecord{
 		Time:         a.Time.UTC().Format(time.RFC3339Nano),
 		ChangeID:     a.ChangeID,
--- a/daemon/session_test.go
+++ b/daemon/session_test.go
@@ -13,9 +13,9 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/tools/txtar"
 
-	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 // session runs the script of one file of testdata/session against a fleet of
@@ -219,7 +219,7 @@
 }
 
 func (s *session) audit() {
-	l, err := platform.ListAudit(context.Background(), s.fleet.store, time.Now(), 100)
+	l, err := store.ListAudit(context.Background(), s.fleet.store, time.Now(), 100)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -8,9 +8,9 @@
 
 	"figwheel/change"
 	"figwheel/event"
-	"figwheel/platform"
 	"figwheel/result"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -78,12 +78,12 @@
 	}
 	d.event(x, event.SubmissionRefused, slog.String("ChangeID", s.id), slog.String("Submitter", s.submitter), slog.String("Cause", err.Error()))
 	show(p)
-	d.putAudit(x, s.began, platform.Audit{
+	d.putAudit(x, s.began, store.Audit{
 		ChangeID:  s.id,
 		Step:      p.step,
 		Submitter: s.submitter,
 		Reason:    s.reason,
-		Problems:  []platform.AuditProblem{{Code: p.err.Code, Text: err.Error()}},
+		Problems:  []store.AuditProblem{{Code: p.err.Code, Text: err.Error()}},
 	})
 }
 
@@ -195,7 +195,7 @@
 		return h, err
 	}
 	if !t.stored {
-		if _, err := platform.PutContent(x, d.store, t.data); err != nil {
+		if _, err := store.PutContent(x, d.store, t.data); err != nil {
 			return h, err
 		}
 		t.stored = true
--- a/demo/observe.go
+++ b/demo/observe.go
@@ -11,8 +11,8 @@
 
 	"figwheel/change"
 	"figwheel/contract"
-	"figwheel/platform"
 	"figwheel/site"
+	"figwheel/store"
 )
 
 const (
@@ -27,8 +27,8 @@
 }
 
 // follow watches the head in the platform, beside the daemons.
-func (a *acceptances) follow(x context.Context, s platform.Store) {
-	_ = s.Watch(x, change.HeadKey, "", func(e platform.Event) error {
+func (a *acceptances) follow(x context.Context, s store.Store) {
+	_ = s.Watch(x, change.HeadKey, "", func(e store.Event) error {
 		n := time.Now()
 		h, err := change.DecodeHead(e.Object.Value)
 		if err != nil {
--- a/result/code.go
+++ b/result/code.go
@@ -68,6 +68,8 @@
 	WriteUnknown
 	RateLimited
 	BadAnswer
+	HistoryGone
+	PlatformRefused
 )
 
 // Codes of settings and of the command line.
@@ -144,6 +146,8 @@
 	{WriteUnknown, "WriteUnknown", "No answer to a write; it may have taken effect."},
 	{RateLimited, "RateLimited", "The platform refused the request because of its rate."},
 	{BadAnswer, "BadAnswer", "The platform's answer cannot be read."},
+	{HistoryGone, "HistoryGone", "The platform no longer has the changes since the revision; list again."},
+	{PlatformRefused, "PlatformRefused", "The platform refused the call and did nothing."},
 
 	{BadSettings, "BadSettings", "The settings of a daemon are wrong."},
 	{CannotListen, "CannotListen", "An address of the settings cannot be listened on."},
--- a/platform/audit.go
+++ b/store/audit.go
@@ -1,10 +1,11 @@
-package platform
+package store
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"figwheel/result"
@@ -39,9 +40,9 @@
 func PutAudit(x context.Context, s Store, began time.Time, a Audit) error {
 	d, err := json.Marshal(a)
 	if err != nil {
-		return platformError.Wrap(err)
+		return storeError.Wrap(err)
 	}
-	k := fmt.Sprintf("%s%s/%s-%s-%s", auditPrefix, began.UTC().Format("2006-01-02"), began.UTC().Format("150405.000"), a.ChangeID, a.Step)
+	k := fmt.Sprintf("%s%s-%s-%s-%s", auditPrefix, began.UTC().Format("2006-01-02"), strings.ReplaceAll(began.UTC().Format("150405.000"), ".", "-"), a.ChangeID, a.Step)
 	_, err = s.Put(x, k, Absent, d)
 	if err != nil && !exists(x, s, k, err) {
 		return err
@@ -54,7 +55,7 @@
 	const daysBack = 7
 	var r []Audit
 	for d := 0; d < daysBack && len(r) < n; d++ {
-		l, err := s.List(x, auditPrefix+now.UTC().AddDate(0, 0, -d).Format("2006-01-02")+"/")
+		l, err := s.List(x, auditPrefix+now.UTC().AddDate(0, 0, -d).Format("2006-01-02")+"-")
 		if err != nil {
 			return nil, err
 		}
--- a/platform/content.go
+++ b/store/content.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 	}
 	e, err := zstd.NewWriter(nil, o...)
 	if err != nil {
-		return nil, platformError.Wrap(err)
+		return nil, storeError.Wrap(err)
 	}
 	defer func() { _ = e.Close() }()
 	return e.EncodeAll(d, nil), nil
@@ -41,11 +41,11 @@
 	}
 	r, err := zstd.NewReader(nil, o...)
 	if err != nil {
-		return nil, platformError.Wrap(err)
+		return nil, storeError.Wrap(err)
 	}
 	defer r.Close()
 	d, err := r.DecodeAll(z, nil)
-	return d, platformError.Wrap(err)
+	return d, storeError.Wrap(err)
 }
 
 const dictionaryID = 1
@@ -94,7 +94,7 @@
 
 // GetContent reads a content and verifies its hash.
 func GetContent(x context.Context, s Store, hash string) ([]byte, error) {
-	l, err := s.List(x, contentPrefix+hash+"/")
+	l, err := s.List(x, contentPrefix+hash+"-")
 	if err != nil {
 		return nil, err
 	}
@@ -125,5 +125,5 @@
 }
 
 func chunkKey(hash string, i, n int) string {
-	return fmt.Sprintf("%s%s/%04d-of-%04d", contentPrefix, hash, i, n)
+	return fmt.Sprintf("%s%s-%04d-of-%04d", contentPrefix, hash, i, n)
 }
--- a/platform/store.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -6,14 +6,15 @@
 	"github.com/zeebo/errs"
 )
 
-// ObjectBytesMax bounds the value of an object, in bytes.
-const ObjectBytesMax = 1 << 20
+// ObjectBytesMax bounds the value of an object, in bytes. The platform takes a
+// megabyte, in which a value stands in base64 beside its metadata.
+const ObjectBytesMax = 700 << 10
 
 // Absent is the version of an object that does not exist; a write under it
 // creates the object.
 const Absent = ""
 
-var platformError = errs.Class("platform")
+var storeError = errs.Class("store")
 
 // Object is a stored value. Version is opaque but for equality.
 type Object struct {
@@ -36,7 +37,7 @@
 }
 
 // Store is the platform as figwheel uses it. Its errors carry one of the
-// codes 4001 to 4007; after WriteUnknown a write may have taken effect.
+// codes 4001 to 4009; after WriteUnknown a write may have taken effect.
 type Store interface {
 	// Get returns an object; NotFound when there is none.
 	Get(x context.Context, key string) (Object, error)
