--- /dev/null
+++ b/caller/decision.go
@@ -0,0 +1,71 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"figwheel/contract"
+	"figwheel/hop"
+	"figwheel/result"
+)
+
+// Decision is what this daemon did with one request, and what it went by.
+type Decision struct {
+	RequestID string
+	Route     string
+	Service   string
+	Version   string   // of the configuration that it went by
+	Asked     []string // instances, the last ones if some were asked twice
+	Sent      int      // workers that it may have reached before the last
+	Budget    bool
+	Code      result.Code
+	Outcome   contract.Outcome
+	Status    int // of the worker's answer, 0 without one
+	Text      string
+	Took      time.Duration
+	Left      time.Duration // until the deadline when it ended
+}
+
+func (h *Handler) record(r *http.Request, c *call, f hop.Result, began time.Time) {
+	if h.Record == nil {
+		return
+	}
+	now := h.Now()
+	d := Decision{
+		RequestID: r.Header.Get(h.Headers.RequestID),
+		Version:   c.view.Version(),
+		Asked:     c.tried,
+		Sent:      c.sent,
+		Code:      f.Code,
+		Outcome:   f.Outcome,
+		Status:    f.Status,
+		Text:      f.Text,
+		Took:      now.Sub(began),
+	}
+	if c.route != nil {
+		d.Route, d.Service = c.route.Name, c.service.Name
+	}
+	if !c.deadline.IsZero() {
+		d.Left = c.deadline.Sub(now)
+	}
+	h.Record.Call(d.Service, f.Code, f.Outcome, d.Took)
+	h.Record.Decision(d)
+}
+
+// retryAfter returns when a refused caller should come back: when there may be
+// room, spread so that those who were refused together do not return together.
+func (h *Handler) retryAfter(c *call, f hop.Result) time.Duration {
+	if f.Outcome != contract.NotRun {
+		return 0
+	}
+	low := retryAfterMin
+	if f.Code == result.Overloaded {
+		low = retryAfterBusy
+	}
+	return low + time.Duration(c.random.Int64N(int64(low)))
+}
+
+const (
+	retryAfterMin  = 100 * time.Millisecond // a new instance, or news of one
+	retryAfterBusy = 200 * time.Millisecond // some requests to end
+)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -16,8 +16,19 @@
 	"figwheel/upstream"
 )
 
-// attemptsMax bounds the attempts of one call, the first included.
-const attemptsMax = 4
+const (
+	// attemptsDefault bounds the workers that one request is sent to where its
+	// route leaves that open.
+	attemptsDefault = 4
+	// asksMax bounds the daemons that one request is offered to.
+	asksMax = 8
+	// asksNoWait is how many daemons are asked for a free slot before the
+	// request waits at one of them.
+	asksNoWait = 3
+	// verdictTime is how much longer than the deadline the next daemon is
+	// waited for: its word that the request was not run is worth having.
+	verdictTime = 60 * time.Millisecond
+)
 
 // Daemon is what the handlers need of the daemon around them.
 type Daemon interface {
@@ -29,9 +40,10 @@
 	Closing() bool
 }
 
-// Recorder counts how calls ended; code 0 is a whole answer.
+// Recorder takes note of how calls ended; code 0 is a whole answer.
 type Recorder interface {
 	Call(service string, c result.Code, o contract.Outcome, took time.Duration)
+	Decision(d Decision)
 }
 
 // Handler answers the calls of callers.
@@ -41,20 +53,28 @@
 	Transport http.RoundTripper // to other daemons
 	Record    Recorder          // may be nil
 	Now       func() time.Time
-	Random    *sync.Pool // of *rand.Rand
+	Random    *sync.Pool       // of *rand.Rand
+	Headers   contract.Headers // that callers know
+	Origin    string           // service of the worker beside this daemon
 
 	budgets sync.Map // of *contract.Budget, by service
 }
 
 // call is one request on its way.
 type call struct {
-	view    *View
-	service *site.Service
-	body    *hop.Body
-	set     []hop.Field
-	random  *rand.Rand
-	tried   [attemptsMax]string
-	again   bool // another attempt may run it again
+	view     *View
+	route    *site.Route
+	service  *site.Service
+	body     *hop.Body
+	ask      upstream.Ask
+	deadline time.Time
+	set      []hop.Field // for the next daemon
+	own      []hop.Field // for the worker beside this one
+	random   *rand.Rand
+	tried    []string // instances that need not be asked again
+	sent     int      // workers that it was sent to
+	again    bool     // another attempt may run it again
+	unknown  bool     // an attempt left open whether it ran
 }
 
 // ServeHTTP implements http.Handler.
@@ -67,43 +87,56 @@
 	}
 	n := h.Random.Get().(*rand.Rand)
 	defer h.Random.Put(n)
-	s, err := route(v, r, n)
-	if err != nil {
-		notRun(w, err)
-		h.record("", hop.NotRun(result.CodeOf(err), ""), t)
-		return
-	}
-	f := h.serve(w, r, &call{view: v, service: s, random: n}, t)
-	h.record(s.Name, f, t)
-	finish(w, f)
+	c := &call{view: v, random: n}
+	f := h.answer(w, r, c, t)
+	h.record(r, c, f, t)
+	finish(w, f, h.retryAfter(c, f))
 }
 
-func (h *Handler) record(service string, f hop.Result, began time.Time) {
-	if h.Record != nil {
-		h.Record.Call(service, f.Code, f.Outcome, h.Now().Sub(began))
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, c *call, now time.Time) hop.Result {
+	if err := c.find(r); err != nil {
+		return hop.NotRun(result.CodeOf(err), err.Error())
 	}
+	return h.serve(w, r, c, now)
 }
 
-// route returns the service that the request is for.
-func route(v *View, r *http.Request, n *rand.Rand) (*site.Service, error) {
+// find sets the route and the service that the request is for.
+func (c *call) find(r *http.Request) error {
+	v := c.view
 	if v.Snapshot == nil {
-		return nil, result.New(result.NoConfiguration, "this daemon has no configuration yet")
+		return result.New(result.NoConfiguration, "this daemon has no configuration yet")
 	}
 	t, ok := v.Snapshot.Match(r)
 	if !ok {
-		return nil, result.New(result.NoRoute, "no route for %s %s%s at version %s", r.Method, r.Host, r.URL.Path, v.Version())
+		return result.New(result.NoRoute, "no route for %s %s%s at version %s", r.Method, r.Host, r.URL.Path, v.Version())
 	}
-	p := t.Pick(n.Uint64())
+	p := t.Pick(c.random.Uint64())
 	s, ok := v.Snapshot.Service(p)
 	if !ok {
-		return nil, result.New(result.RouteWithoutService, "route %s leads to %s, which is not here", t.Name, p)
+		return result.New(result.RouteWithoutService, "route %s leads to %s, which is not here", t.Name, p)
+	}
+	if m := v.Snapshot.Limits().BodyBytes; m > 0 && r.ContentLength > m {
+		return result.New(result.RequestTooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, m)
+	}
+	c.route, c.service = t, s
+	return nil
+}
+
+// limit is the longest that the route and the service let a request take.
+func (c *call) limit() time.Duration {
+	l := c.service.Deadline
+	if t := c.route.Timeout; t > 0 && (l == 0 || t < l) {
+		l = t
+	}
+	if l == 0 {
+		l = linkDeadline
 	}
-	return s, nil
+	return l
 }
 
 // serve makes the attempts of one call within its deadline.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c *call, now time.Time) hop.Result {
-	d, err := contract.Deadline(now, c.service.Deadline, r.Header.Get(contract.DeadlineHeader))
+	d, err := contract.Deadline(now, c.limit(), r.Header.Get(h.Headers.Deadline))
 	if err != nil {
 		return hop.NotRun(result.BadDeadline, err.Error())
 	}
@@ -111,77 +144,154 @@
 	if err != nil {
 		return hop.NotRun(result.TooDeep, err.Error())
 	}
-	x, stop := context.WithDeadline(r.Context(), d)
+	x, stop := context.WithDeadline(r.Context(), d.Add(verdictTime))
 	defer stop()
 	c.body, err = hop.NewBody(w, r)
 	if err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
-	c.again = c.service.Idempotent(r.Method, r.URL.Path)
+	c.deadline = d
+	c.ask = upstream.Ask{Rank: c.route.Rank, Deadline: d}
+	if c.route.Goal > 0 {
+		c.ask.Goal = now.Add(c.route.Goal)
+	}
+	c.again = c.repeats(r)
+	depth := hop.Field{Name: contract.DepthHeader, Value: strconv.Itoa(n + 1)}
+	version := hop.Field{Name: contract.VersionHeader, Value: c.view.version}
+	if h.Headers == contract.OwnHeaders() {
+		c.own = []hop.Field{depth, version}
+	}
 	c.set = []hop.Field{
-		{Name: contract.DeadlineHeader, Value: contract.Remaining(now, d)},
-		{Name: contract.DepthHeader, Value: strconv.Itoa(n + 1)},
-		{Name: contract.VersionHeader, Value: c.view.version},
+		depth, version,
 		{Name: contract.ReleaseHeader, Value: c.view.release},
 		{Name: contract.ServiceHeader, Value: c.service.Name},
-		{Name: contract.OnceHeader, Value: strconv.FormatBool(!c.again)},
+		{Name: contract.RankHeader, Value: strconv.Itoa(c.ask.Rank)},
+		{Name: contract.OriginHeader, Value: h.Origin},
 	}
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
 	return h.attempts(x, w, r, c)
 }
 
-// attempts tries instances one after the other, as long as that is safe and
-// the budget of the service allows it.
+// repeats tells whether the request may run more than once.
+func (c *call) repeats(r *http.Request) bool {
+	switch c.route.Repeat {
+	case site.RepeatAllowed:
+		return true
+	case site.RepeatForbidden:
+		return false
+	}
+	return c.service.Idempotent(r.Method, r.URL.Path)
+}
+
+// attempts offers the request to instances one after the other, as long as
+// that is safe and the budget of the service allows it. It asks for a free
+// slot first and waits only where there is none.
 func (h *Handler) attempts(x context.Context, w http.ResponseWriter, r *http.Request, c *call) hop.Result {
 	l := c.view.Candidates[c.service.Name]
 	f := hop.NotRun(result.NoInstance, "no ready instance of "+c.service.Name)
 	b := h.budget(c.service.Name)
-	b.Earn(c.service.RetryPercent)
-	for i := range attemptsMax {
-		k := l.Choose(c.random, c.tried[:i])
-		if k == nil {
-			return f
+	b.Earn(h.retries(c))
+	wait := false
+	for i := range asksMax {
+		now := h.Now()
+		k := l.Choose(now, c.random, c.tried)
+		if k == nil && !wait && f.Code == result.Overloaded {
+			// Everybody is full: wait where it takes least.
+			wait = true
+			c.tried = c.tried[:0]
+			k = l.Choose(now, c.random, nil)
 		}
-		c.tried[i] = k.Name
-		f = worse(f, h.attempt(x, w, r, c, k))
-		if f.OK() || f.Begun || x.Err() != nil || !contract.MayRetry(f.Outcome, c.again) || !c.body.Replayable() {
+		if k == nil {
 			return f
 		}
-		if i+1 < l.Len() && !b.Spend() {
+		wait = wait || i >= asksNoWait || !k.Free(now)
+		c.tried = append(c.tried, k.Name)
+		f = c.after(h.attempt(x, w, r, c, k, !wait))
+		if f.OK() || f.Begun || x.Err() != nil || !h.another(c, f, b, l) {
 			return f
 		}
 	}
 	return f
 }
 
-// worse returns n, but no proof that the request did not run once an earlier
-// attempt left that open.
-func worse(o, n hop.Result) hop.Result {
-	if !n.OK() && o.Code != 0 && o.Outcome == contract.Unknown {
-		n.Outcome = contract.Unknown
+// another decides whether to try another instance after f.
+func (h *Handler) another(c *call, f hop.Result, b *contract.Budget, l link.Candidates) bool {
+	if !contract.MayRetry(f.Outcome, c.again) || !c.body.Replayable() || !h.Now().Before(c.deadline) {
+		return false
 	}
-	return n
+	if !contract.Reached(f.Code, f.Outcome) {
+		return true
+	}
+	c.sent++
+	most := c.route.Attempts
+	if most == 0 {
+		most = attemptsDefault
+	}
+	return c.sent < most && len(c.tried) < l.Len() && b.Spend()
+}
+
+// after notes what f leaves open: there is no proof that the request did not
+// run once an earlier attempt may have run it.
+func (c *call) after(f hop.Result) hop.Result {
+	if f.OK() {
+		return f
+	}
+	c.unknown = c.unknown || f.Outcome != contract.NotRun
+	if c.unknown {
+		f.Outcome = contract.Unknown
+	}
+	return f
 }
 
-func (h *Handler) attempt(x context.Context, w http.ResponseWriter, r *http.Request, c *call, k *link.Candidate) hop.Result {
+func (h *Handler) attempt(x context.Context, w http.ResponseWriter, r *http.Request, c *call, k *link.Candidate, noWait bool) hop.Result {
 	k.Peer.Begin()
+	now := h.Now()
+	c.ask.NoWait = noWait
 	if k.Local {
-		f := h.Worker.Serve(x, w, r, h.Now(), upstream.Request{Service: c.service.Name, Body: c.body, Once: !c.again, Set: c.set[:passedOn]})
-		k.Peer.End(strconv.Itoa(h.Worker.InFlight()))
+		y, stop := context.WithDeadline(x, c.deadline)
+		defer stop()
+		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now})
+		k.Peer.End(h.Worker.Load().String(), h.Now())
 		return f
 	}
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Once: !c.again, Set: c.set}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.fields(now)}
 	f := p.Do(x, w, r, c.body)
-	k.Peer.End(f.Load)
+	now = h.Now()
+	k.Peer.End(f.Load, now)
+	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
+		k.Peer.Avoid(now.Add(avoidTime))
+	}
 	if f.Release != "" && f.Release != c.view.release {
 		h.Daemon.Seen(f.Release)
 	}
 	return f
 }
 
-// passedOn is how many fields of a call's set a worker gets: deadline, depth
-// and version, which it passes on when it calls others.
-const passedOn = 3
+// avoidTime is how long an instance whose daemon did not answer is avoided;
+// by then the others have found out what became of it.
+const avoidTime = 2 * time.Second
+
+// fields returns the headers for the next daemon.
+func (c *call) fields(now time.Time) []hop.Field {
+	l := append(make([]hop.Field, 0, len(c.set)+3), c.set...)
+	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.Remaining(now, c.deadline)})
+	if !c.ask.Goal.IsZero() {
+		l = append(l, hop.Field{Name: contract.GoalHeader, Value: contract.Remaining(now, c.ask.Goal)})
+	}
+	if c.ask.NoWait {
+		l = append(l, hop.Field{Name: contract.QueueHeader, Value: "no"})
+	}
+	return l
+}
+
+// retries returns what the service may spend on retries at this daemon.
+func (h *Handler) retries(c *call) contract.Retries {
+	r := c.view.Retries
+	if c.service.RetryPercent > 0 {
+		r.Percent = c.service.RetryPercent
+	}
+	return r
+}
 
 func (h *Handler) budget(service string) *contract.Budget {
 	if b, ok := h.budgets.Load(service); ok {
--- a/caller/link.go
+++ b/caller/link.go
@@ -15,12 +15,15 @@
 // linkDeadline bounds a request whose deadline header was lost.
 const linkDeadline = 10 * time.Minute
 
+const rankLast = 1 << 20
+
 // LinkHandler answers what other daemons send on: the worker beside this
 // daemon runs it or it is refused; it is never sent on again.
 type LinkHandler struct {
-	Daemon Daemon
-	Worker *upstream.Worker
-	Now    func() time.Time
+	Daemon  Daemon
+	Worker  *upstream.Worker
+	Now     func() time.Time
+	Headers contract.Headers // that workers know
 }
 
 // ServeHTTP implements http.Handler.
@@ -34,8 +37,16 @@
 		v = h.Daemon.View()
 	}
 	w.Header().Set(contract.ReleaseHeader, v.release)
-	w.Header().Set(contract.LoadHeader, strconv.Itoa(h.Worker.InFlight()))
-	finish(w, h.serve(w, r))
+	f := h.serve(w, r)
+	if !f.Begun {
+		h.addLoad(w.Header())
+	}
+	finish(w, f, 0)
+}
+
+// addLoad tells the load as it is when the answer goes out.
+func (h *LinkHandler) addLoad(a http.Header) {
+	a.Set(contract.LoadHeader, h.Worker.Load().String())
 }
 
 func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request) hop.Result {
@@ -51,15 +62,26 @@
 	}
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
-	set := []hop.Field{
-		{Name: contract.DeadlineHeader, Value: contract.Remaining(now, d)},
-		{Name: contract.DepthHeader, Value: r.Header.Get(contract.DepthHeader)},
-		{Name: contract.VersionHeader, Value: r.Header.Get(contract.VersionHeader)},
-	}
-	return h.Worker.Serve(x, w, r, now, upstream.Request{
+	q := upstream.Request{
+		Ask:     upstream.Ask{Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
 		Service: r.Header.Get(contract.ServiceHeader),
+		Origin:  r.Header.Get(contract.OriginHeader),
 		Body:    b,
-		Once:    r.Header.Get(contract.OnceHeader) != "false",
-		Set:     set,
-	})
+		Now:     h.Now,
+		Before:  h.addLoad,
+	}
+	// A rank that cannot be read is that of the least important requests.
+	if q.Rank, err = strconv.Atoi(r.Header.Get(contract.RankHeader)); err != nil {
+		q.Rank = rankLast
+	}
+	if g, err := contract.Deadline(now, linkDeadline, r.Header.Get(contract.GoalHeader)); err == nil && r.Header.Get(contract.GoalHeader) != "" {
+		q.Goal = g
+	}
+	if h.Headers == contract.OwnHeaders() {
+		q.Set = []hop.Field{
+			{Name: contract.DepthHeader, Value: r.Header.Get(contract.DepthHeader)},
+			{Name: contract.VersionHeader, Value: r.Header.Get(contract.VersionHeader)},
+		}
+	}
+	return h.Worker.Serve(x, w, r, now, q)
 }
--- a/caller/view.go
+++ b/caller/view.go
@@ -3,7 +3,9 @@
 import (
 	"strconv"
 
+	"figwheel/contract"
 	"figwheel/link"
+	"figwheel/settings"
 	"figwheel/site"
 )
 
@@ -12,13 +14,14 @@
 type View struct {
 	Snapshot   *site.Snapshot
 	Candidates map[string]link.Candidates // by service
+	Retries    contract.Retries           // of a service that does not say itself
 	release    string
 	version    string
 }
 
 // NewView returns a view; s may be nil while there is no configuration.
 func NewView(s *site.Snapshot, c map[string]link.Candidates) *View {
-	v := &View{Snapshot: s, Candidates: c, version: "0"}
+	v := &View{Snapshot: s, Candidates: c, Retries: contract.Retries{Percent: settings.RetryPercentDefault, Burst: settings.RetryBurstAlone}, version: "0"}
 	if s != nil {
 		v.version = strconv.FormatUint(s.Number(), 10)
 		v.release = v.version + "-" + s.Content()
--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -35,7 +35,7 @@
 
 func daemonCommand(a *kingpin.Application) command {
 	c := a.Command("daemon", "Run the daemon of one instance.")
-	p := c.Flag("settings", "The settings file; docs/OPERATING.md has every field.").Required().String()
+	p := c.Flag("settings", "The settings file; docs/OPERATIONS.md has every field.").Envar("FIGWHEEL_CONFIG").Required().String()
 	k := c.Flag("check", "Check the settings and stop.").Bool()
 	return command{c.FullCommand(), func(x context.Context, _ io.Writer) error {
 		s, err := settings.Load(*p, os.Environ())
@@ -43,13 +43,14 @@
 			return err
 		}
 		tuneCollector()
-		l := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.Level()}))
+		l := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: s.Level()}))
 		d, err := daemon.New(daemon.Options{
 			Settings: s,
 			Store:    platform.Client{Base: s.Platform},
 			Log:      l,
 			Now:      time.Now,
 			Seed:     uint64(time.Now().UnixNano()),
+			Edge:     edge(s),
 		})
 		if err != nil {
 			return err
@@ -57,3 +58,19 @@
 		return d.Run(x)
 	}}
 }
+
+// edge returns what the daemon speaks to those that are not daemons, nil for
+// figwheel's own interface.
+func edge(s settings.Settings) *daemon.Edge {
+	if s.Interface != settings.PlatformInterface {
+		return nil
+	}
+	return &daemon.Edge{
+		Headers:      platform.Headers(),
+		Workers:      platform.Workers,
+		ReadyPath:    platform.ReadyPath,
+		HoldBack:     true,
+		ConfigKey:    platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig,
+	}
+}
--- a/contract/budget.go
+++ b/contract/budget.go
@@ -4,18 +4,23 @@
 
 const (
 	milli        = 1000
-	budgetBurst  = 10 * milli
 	percentMilli = 10
 )
 
+// Retries bounds the retries of one service at one daemon.
+type Retries struct {
+	Percent int // of the requests
+	Burst   int // that may come at once
+}
+
 // Budget keeps retries to a share of the requests. The zero value is an empty
 // budget; it is safe for concurrent use.
 type Budget struct{ milli atomic.Int64 }
 
-// Earn credits one request with the given share, in percent.
-func (b *Budget) Earn(percent int) {
-	if b.milli.Load() < budgetBurst {
-		b.milli.Add(int64(percent * percentMilli))
+// Earn credits one request.
+func (b *Budget) Earn(r Retries) {
+	if b.milli.Load() < int64(r.Burst)*milli {
+		b.milli.Add(int64(r.Percent * percentMilli))
 	}
 }
 
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -49,25 +49,40 @@
 
 	ServiceHeader = "Figwheel-Service"
 	ReleaseHeader = "Figwheel-Release"
-	OnceHeader    = "Figwheel-Once"
 	LoadHeader    = "Figwheel-Load"
+	QueueHeader   = "Figwheel-Queue" // no, if another daemon may have a free slot
+	RankHeader    = "Figwheel-Rank"
+	GoalHeader    = "Figwheel-Goal-Ms" // time left in which an answer is worth most
+	OriginHeader  = "Figwheel-Origin"
 
 	HeaderPrefix = "Figwheel-"
 )
 
-// Status returns the HTTP status for a call that failed with the code.
-func Status(c result.Code) int {
+// Status returns the HTTP status for a call that failed with the code. A 503
+// is a promise that the request was not run and will not be; what may have run
+// gets a status that promises nothing.
+func Status(c result.Code, o Outcome) int {
 	switch c {
 	case result.NoRoute:
 		return http.StatusNotFound
-	case result.DeadlineExceeded:
-		return http.StatusGatewayTimeout
-	case result.ConnectFailed, result.AnswerLost, result.AnswerCut:
-		return http.StatusBadGateway
 	case result.TooDeep:
 		return http.StatusLoopDetected
 	case result.BadDeadline:
 		return http.StatusBadRequest
+	case result.RequestTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	switch {
+	case o == NotRun:
+		return http.StatusServiceUnavailable
+	case c == result.DeadlineExceeded:
+		return http.StatusGatewayTimeout
 	}
-	return http.StatusServiceUnavailable
+	return http.StatusBadGateway
+}
+
+// Reached tells whether a request that failed with the code was sent to a
+// worker, which then counts as one of its attempts.
+func Reached(c result.Code, o Outcome) bool {
+	return o != NotRun || c == result.WorkerRefused || c == result.WrongInstance
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -8,10 +9,12 @@
 
 	"figwheel/caller"
 	"figwheel/change"
+	"figwheel/contract"
 	"figwheel/event"
 	"figwheel/instance"
 	"figwheel/link"
 	"figwheel/result"
+	"figwheel/settings"
 	"figwheel/site"
 	"figwheel/store"
 	"figwheel/upstream"
@@ -36,6 +39,7 @@
 	links        map[string]*link.Peer
 	announcement upstream.Announcement
 	announced    time.Time
+	history      upstream.History
 	draining     bool
 	gone         bool
 
@@ -48,17 +52,18 @@
 	contents map[string]*content
 	fetching map[string]bool
 
-	platformUp bool // the head was read from the platform
-	reachable  bool // the platform answered last time
-	answered   map[string]bool
-	rosters    map[string]store.Object
-	rosterAt   time.Time
-	aloneAt    time.Time // from when a daemon that knows nobody acts
-	joinAt     time.Time // when the rosters are gone through next
-	listAt     time.Time // when a daemon that knows nobody lists them next
-	listWait   time.Duration
-	watching   bool
-	finishing  map[string]bool
+	platformUp  bool // the control objects were read from the platform
+	configKnown bool // so was the configuration that others write
+	reachable   bool // the platform answered last time
+	answered    map[string]bool
+	rosters     map[string]store.Object
+	rosterAt    time.Time
+	aloneAt     time.Time // from when a daemon that knows nobody acts
+	joinAt      time.Time // when the rosters are gone through next
+	listAt      time.Time // when a daemon that knows nobody lists them next
+	listWait    time.Duration
+	watching    bool
+	finishing   map[string]bool
 
 	probed   time.Time
 	repairAt time.Time // before which no repair starts
@@ -108,6 +113,9 @@
 	var spread time.Time // when news was last spread
 	pending := false     // whether it is about to be
 	c.start(c.d.boot)
+	if c.d.managed() {
+		c.start(c.d.followConfig)
+	}
 	for x.Err() == nil {
 		select {
 		case <-x.Done():
@@ -119,6 +127,8 @@
 			spread = c.d.now()
 			pending = false
 			c.spreadNews()
+		case a := <-c.d.lost:
+			c.workerUnreachable(a, c.d.now())
 		case <-c.ended:
 			c.running--
 		}
@@ -179,25 +189,40 @@
 	c.dirty = true
 }
 
-// lapse forgets a worker that stopped announcing itself.
+// lapse forgets a worker that stopped announcing itself and answers nothing.
 func (c *control) lapse(now time.Time) {
-	if c.announcement.Service == "" || now.Sub(c.announced) < upstream.LapseTime {
+	t := cmp.Or(time.Duration(c.d.settings.WorkerLapse), upstream.LapseTime)
+	if c.announcement.Service == "" || now.Sub(c.announced) < t || now.Sub(c.d.worker.Answered()) < t {
+		return
+	}
+	c.workerLost(now, "silent")
+}
+
+// workerLost keeps calls away until the worker is heard of again.
+func (c *control) workerLost(now time.Time, cause string) {
+	if c.announcement.State == instance.Left.String() {
 		return
 	}
-	c.d.event(c.x, event.WorkerLost, slog.String("Service", c.announcement.Service))
+	c.d.event(c.x, event.WorkerLost, slog.String("Service", c.announcement.Service), slog.String("ID", c.announcement.ID), slog.String("Cause", cause), slog.Duration("SilentFor", now.Sub(c.announced)))
 	c.announcement.State = instance.Left.String()
-	c.announced = now.Add(time.Hour * 24 * 365) // once is enough
 	c.describe(now)
 }
 
 // announce takes over what the worker says of itself.
-func (c *control) announce(a upstream.Announcement, now time.Time) {
-	if a != c.announcement {
-		c.d.event(c.x, event.WorkerAnnounced, slog.String("Service", a.Service), slog.String("State", a.State), slog.String("Address", a.Address))
+func (c *control) announce(a upstream.Announcement, now time.Time) error {
+	a, err := c.history.Take(a)
+	if err != nil {
+		c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
+		return err
 	}
+	o := c.announcement
 	c.announcement = a
 	c.announced = now
-	c.describe(now)
+	if a.ID != o.ID || a.State != o.State || a.Service != o.Service || a.Address != o.Address || a.Slots != o.Slots {
+		c.d.event(c.x, event.WorkerAnnounced, slog.String("Service", a.Service), slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Address", a.Address), slog.Uint64("Sequence", a.Sequence))
+		c.describe(now)
+	}
+	return nil
 }
 
 // describe brings the own record up to date: ready only with a worker that is
@@ -213,7 +238,7 @@
 	r.Service = a.Service
 	r.State = c.state(s)
 	r.Slots = uint32(max(0, a.Slots))
-	if s != nil && (a.Slots == 0 || s.Slots < a.Slots) {
+	if s != nil && s.Slots > 0 && (a.Slots == 0 || s.Slots < a.Slots) {
 		r.Slots = uint32(s.Slots)
 	}
 	if c.table.SetSelf(r, now) {
@@ -264,11 +289,21 @@
 	for n, v := range l {
 		m[n] = link.NewCandidates(v)
 	}
-	c.d.view.Store(caller.NewView(c.serving, m))
+	v := caller.NewView(c.serving, m)
+	v.Retries = contract.Retries{Percent: cmp.Or(c.d.settings.RetryPercent, settings.RetryPercentDefault), Burst: c.retryBurst()}
+	c.d.view.Store(v)
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// retryBurst is this daemon's part of what all daemons may retry at once.
+func (c *control) retryBurst() int {
+	if b := c.d.settings.RetryBurst; b > 0 {
+		return max(1, b/max(1, c.table.Count()))
+	}
+	return settings.RetryBurstAlone
+}
+
 // readyNames returns the instances that get calls.
 func (c *control) readyNames() []string {
 	var n []string
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -15,7 +15,6 @@
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
 	"figwheel/result"
-	"figwheel/site"
 	"figwheel/store"
 )
 
@@ -216,13 +215,13 @@
 
 // sitesOf returns the sites that a content lists.
 func (d *Daemon) sitesOf(x context.Context, hash string) []string {
-	var f site.Configuration
+	var l []string
 	_ = d.do(x, func(c *control) {
-		if k := c.contents[hash]; k != nil {
-			f = k.config
+		if k := c.contents[hash]; k != nil && k.config != nil {
+			l = k.config.Sites()
 		}
 	})
-	return f.Sites()
+	return l
 }
 
 // enforce delivers the accepted head until every live instance serves it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,9 @@
 	Now      func() time.Time
 	Seed     uint64 // of all random choices
 
+	// Edge is what callers, workers and supervisors speak; nil is figwheel's own.
+	Edge *Edge
+
 	// Listen opens an address; nil is net.Listen for TCP.
 	Listen func(address string) (net.Listener, error)
 	// Dial opens connections for control traffic; nil is a net.Dialer.
@@ -46,12 +49,14 @@
 	seed      uint64
 	listeners listeners
 
+	edge     Edge
 	meter    peer.Meter
 	peers    *peer.Client
 	worker   upstream.Worker
 	view     atomic.Pointer[caller.View]
 	closing  atomic.Bool
 	requests chan func(*control)
+	lost     chan upstream.Announcement // of a worker that takes no connections
 	stopped  chan struct{}
 	killed   chan struct{}
 	contents singleflight.Group
@@ -69,6 +74,7 @@
 		now:      o.Now,
 		seed:     o.Seed,
 		requests: make(chan func(*control)),
+		lost:     make(chan upstream.Announcement, 1),
 		stopped:  make(chan struct{}),
 		killed:   make(chan struct{}),
 	}
@@ -76,6 +82,13 @@
 		d.log = slog.New(slog.DiscardHandler)
 	}
 	d.log = d.log.With("Instance", o.Settings.Instance)
+	d.edge = ownEdge()
+	if o.Edge != nil {
+		d.edge = *o.Edge
+	}
+	d.worker.Headers = d.edge.Headers
+	d.worker.HoldBack = d.edge.HoldBack
+	d.worker.Unreachable = d.unreachable
 	d.peers = peer.NewClient(&d.meter, o.Dial)
 	d.view.Store(caller.NewView(nil, nil))
 	m, err := metric.New(metric.Gauges{
@@ -140,12 +153,18 @@
 	event.Log(x, d.log, i, a...)
 }
 
+// compiled is a checked configuration: base and overlays, or a table.
+type compiled interface {
+	Snapshot(site string, number uint64, content string) (*site.Snapshot, error)
+	Sites() []string // that it lists, none if it is the same everywhere
+}
+
 // content is a configuration by its hash. When it cannot be served at this
 // site, refusal says why.
 type content struct {
 	hash    string
 	data    []byte
-	config  site.Configuration
+	config  compiled
 	refusal *result.Error
 }
 
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	fetchTime   = 10 * time.Second // bounds how long a content is looked for
-	wantTime    = time.Second      // within which a delivery brings it
-	fetchPeers  = 2                // asked in each round
-	fetchRounds = 3                // before the platform is asked
+	fetchTime   = 10 * time.Second      // bounds how long a content is looked for
+	wantTime    = time.Second           // within which a delivery brings it
+	watchedTime = 50 * time.Millisecond // within which an own watch brings it
+	fetchPeers  = 2                     // asked in each round
+	fetchRounds = 3                     // before the platform is asked
 	fetchWait   = 100 * time.Millisecond
 )
 
@@ -36,6 +37,14 @@
 
 // seen handles a release that another daemon serves.
 func (c *control) seen(number uint64, hash string) {
+	if c.d.managed() {
+		// Daemons serve nothing that was not accepted.
+		if c.observe(managedHead(number, hash)) {
+			c.eager = true
+			c.publish()
+		}
+		return
+	}
 	k, ok := c.known.WithSeen(number, hash)
 	if !ok {
 		c.spreadNews() // somebody may know more
@@ -58,12 +67,20 @@
 	}
 }
 
+// headKnown tells whether the platform told what is in force.
+func (c *control) headKnown() bool {
+	if c.d.managed() {
+		return c.configKnown
+	}
+	return c.platformUp
+}
+
 func (c *control) activate() {
 	k, ok := c.contents[c.known.Target.Content]
 	if !ok || k.refusal != nil {
 		return
 	}
-	if c.serving == nil && !change.MayServe(c.platformUp, c.known.Head, len(c.answered), len(c.table.Live())-1) {
+	if c.serving == nil && !change.MayServe(c.headKnown(), c.known.Head, len(c.answered), len(c.table.Live())-1) {
 		return
 	}
 	s, err := k.config.Snapshot(c.d.settings.Site, c.known.Target.Number, c.known.Target.Content)
@@ -99,7 +116,10 @@
 	}
 	c.fetching[hash] = true
 	var w time.Duration
-	if later {
+	switch {
+	case later && c.d.managed():
+		w = watchedTime + time.Duration(c.random.Int64N(int64(watchedTime)))
+	case later:
 		w = wantTime + time.Duration(c.random.Int64N(int64(wantTime)))
 	}
 	c.start(func(x context.Context) {
@@ -227,6 +247,15 @@
 // daemon of another build may refuse what the submitting one took.
 func (d *Daemon) compile(hash string, b []byte) *content {
 	k := &content{hash: hash, data: b}
+	if d.managed() {
+		t, err := site.DecodeTable(b)
+		if err != nil {
+			k.refusal = result.Wrap(result.BadValue, err, "content %s", hash)
+			return k
+		}
+		k.config = t
+		return k
+	}
 	f, err := site.DecodeBundle(b)
 	if err != nil {
 		k.refusal = result.Wrap(result.BadValue, err, "content %s", hash)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"figwheel/caller"
+	"figwheel/contract"
 	"figwheel/event"
 	"figwheel/hop"
 	"figwheel/operator"
@@ -25,7 +26,8 @@
 	headerTime     = 10 * time.Second
 	idleTime       = 2 * time.Minute
 	headerBytesMax = 64 << 10
-	linkDialTime   = time.Second
+	linkDialTime   = 500 * time.Millisecond
+	linkIdleTime   = 30 * time.Second
 	newsTime       = 300 * time.Millisecond // for others to hear that this instance leaves
 	drainPoll      = 10 * time.Millisecond
 	leftTime       = time.Second
@@ -38,11 +40,13 @@
 	peer     net.Listener
 	upstream net.Listener
 	operator net.Listener
+	ready    net.Listener // nil without an address
 }
 
 func (d *Daemon) listen(open func(string) (net.Listener, error)) error {
 	if open == nil {
-		open = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
+		c := net.ListenConfig{KeepAliveConfig: hop.Prober()}
+		open = func(a string) (net.Listener, error) { return c.Listen(context.Background(), "tcp", a) }
 	}
 	l := []struct {
 		address *string
@@ -53,8 +57,12 @@
 		{&d.settings.PeerAddress, &d.listeners.peer},
 		{&d.settings.UpstreamAddress, &d.listeners.upstream},
 		{&d.settings.OperatorAddress, &d.listeners.operator},
+		{&d.settings.ReadyAddress, &d.listeners.ready},
 	}
 	for _, v := range l {
+		if *v.address == "" {
+			continue
+		}
 		n, err := open(*v.address)
 		if err != nil {
 			d.closeListeners()
@@ -68,7 +76,7 @@
 
 func (d *Daemon) closeListeners() {
 	l := d.listeners
-	for _, n := range []net.Listener{l.call, l.link, l.peer, l.upstream, l.operator} {
+	for _, n := range []net.Listener{l.call, l.link, l.peer, l.upstream, l.operator, l.ready} {
 		if n != nil {
 			_ = n.Close()
 		}
@@ -123,29 +131,63 @@
 }
 
 func (d *Daemon) serve() *servers {
-	t := hop.NewTransport(0, linkDialTime)
+	t := hop.NewTransport(0, linkDialTime, linkIdleTime)
 	s := &servers{}
+	e := d.edge.Headers
 	s.work = []*server{
-		s.start(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: d.metrics, Now: d.now, Random: d.source()}),
-		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now}),
+		s.start(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.source(), Headers: e, Origin: d.settings.Service}),
+		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e}),
 	}
 	p := http.NewServeMux()
 	p.Handle(peer.NewHandler(d))
-	u := http.NewServeMux()
-	u.Handle(upstream.AnnouncePath, upstream.AnnounceHandler{Take: d.announced, Now: d.now})
 	o := http.NewServeMux()
 	o.Handle(operator.NewHandler(operators{d}))
 	o.Handle("/metrics", d.metrics.Handler())
 	s.control = []*server{
 		s.start(d.meter.Listener(d.listeners.peer), p),
-		s.start(d.listeners.upstream, u),
+		s.start(d.listeners.upstream, d.edge.Workers(d.announced, d.now)),
 		s.start(d.listeners.operator, o),
 	}
+	if d.listeners.ready != nil {
+		s.control = append(s.control, s.start(d.listeners.ready, d.readyHandler()))
+	}
 	return s
 }
 
-func (d *Daemon) announced(a upstream.Announcement, now time.Time) {
-	_ = d.do(context.Background(), func(c *control) { c.announce(a, now) })
+func (d *Daemon) announced(a upstream.Announcement, now time.Time) error {
+	var r error
+	err := d.do(context.Background(), func(c *control) { r = c.announce(a, now) })
+	return errors.Join(err, r)
+}
+
+// recorder counts calls and logs what was decided about them.
+type recorder struct{ d *Daemon }
+
+// Call implements caller.Recorder.
+func (r recorder) Call(service string, c result.Code, o contract.Outcome, took time.Duration) {
+	r.d.metrics.Call(service, c, o, took)
+}
+
+// Decision implements caller.Recorder.
+func (r recorder) Decision(v caller.Decision) {
+	i := event.Answered
+	if v.Code != 0 {
+		i = event.Failed
+	}
+	r.d.event(context.Background(), i,
+		slog.String("RequestID", v.RequestID),
+		slog.String("Route", v.Route),
+		slog.String("Service", v.Service),
+		slog.String("Version", v.Version),
+		slog.Any("Asked", v.Asked),
+		slog.Int("Sent", v.Sent),
+		slog.String("Code", v.Code.String()),
+		slog.String("Outcome", v.Outcome.String()),
+		slog.Int("Status", v.Status),
+		slog.String("Text", v.Text),
+		slog.Duration("Took", v.Took),
+		slog.Duration("Left", v.Left),
+	)
 }
 
 // source returns a source of random numbers for each call that asks.
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -47,15 +47,19 @@
 
 // submit takes a submission all the way and shows each step.
 func (d *Daemon) submit(x context.Context, s submission, show func(progress)) {
-	if err := s.valid(); err != nil {
+	err := d.refuseManaged()
+	if err == nil {
+		err = s.valid()
+	}
+	if err != nil {
 		show(progress{step: stepRefused, err: err})
 		return
 	}
 	_ = d.do(x, func(c *control) { c.finishing[s.id] = true })
 	defer func() { _ = d.do(x, func(c *control) { delete(c.finishing, s.id) }) }()
-	h, err := d.propose(x, s)
-	if err != nil {
-		d.reject(x, s, err, show)
+	h, failed := d.propose(x, s)
+	if failed != nil {
+		d.reject(x, s, failed, show)
 		return
 	}
 	if h.Proposed.ChangeID == s.id {
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	WorkerLost
 	RosterWritten
 	RefutedSuspicion
+	AnnouncementRefused
 )
 
 // Events of the platform.
@@ -50,6 +51,13 @@
 	WatchStarted
 	WatchEnded
 	AuditFailed
+	ConfigUnreadable
+)
+
+// Events of calls.
+const (
+	Answered ID = 501 + iota
+	Failed
 )
 
 // Entry is one row of the catalogue of events.
@@ -83,11 +91,15 @@
 	{WorkerLost, "WorkerLost", slog.LevelWarn, "The worker's announcements lapsed."},
 	{RosterWritten, "RosterWritten", slog.LevelDebug, "The roster of the site was written."},
 	{RefutedSuspicion, "RefutedSuspicion", slog.LevelInfo, "This daemon was suspected and refuted it."},
+	{AnnouncementRefused, "AnnouncementRefused", slog.LevelWarn, "A worker's announcement is older than what is known."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; what is in force stays served."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
 	{WatchEnded, "WatchEnded", slog.LevelDebug, "The watch of the platform ended."},
 	{AuditFailed, "AuditFailed", slog.LevelWarn, "An audit record could not be written."},
+	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; what is in force stays served."},
+	{Answered, "Answered", slog.LevelDebug, "A call got the worker's answer."},
+	{Failed, "Failed", slog.LevelInfo, "A call got no answer of a worker; code, outcome and text say why."},
 }
 
 // Catalogue returns every event in ascending order.
--- a/hop/body.go
+++ b/hop/body.go
@@ -61,7 +61,7 @@
 	return http.NoBody, func() {}
 }
 
-// keptReader has no GetBody, so that net/http cannot send it twice by itself.
+// keptReader is a body that needs no closing.
 type keptReader struct{ *bytes.Reader }
 
 // Close implements io.Closer.
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -1,17 +1,15 @@
 package hop
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"figwheel/contract"
 	"figwheel/result"
@@ -22,8 +20,14 @@
 	Transport http.RoundTripper
 	Address   string // host and port
 	Daemon    bool   // the next one is a daemon, whose Figwheel headers count
-	Once      bool   // the request must not run twice
+	Headers   contract.Headers
 	Set       []Field
+
+	// HoldBack keeps an answer without a length back until it is whole, as far
+	// as it fits a buffer. Answers with a length that fits always are.
+	HoldBack bool
+	// Before is called with the headers before an answer is begun; may be nil.
+	Before func(h http.Header)
 }
 
 // Field is a header that the hop adds.
@@ -35,9 +39,10 @@
 	Outcome contract.Outcome
 	Code    result.Code // 0 for a whole answer
 	Text    string
+	Status  int // of the answer that was passed on, 0 if there is none
 	Begun   bool
 	Release string // of the daemon that answered
-	Load    string // in flight at the daemon that answered
+	Load    string // of the daemon that answered
 }
 
 // OK tells whether the answer was passed on whole.
@@ -48,18 +53,49 @@
 	return Result{Outcome: contract.NotRun, Code: c, Text: text}
 }
 
+// unknown returns the result of a request that may have run.
+func unknown(c result.Code, text string) Result {
+	return Result{Code: c, Text: text}
+}
+
+// staleMax bounds how many kept connections of an address may turn out closed
+// before a request is given up; they close together when their owner restarts.
+const staleMax = 8
+
 // Do sends r with the body b and passes the answer to w. An answer by which
-// the next daemon says that it did not run the request is not passed on.
+// the next one says that it did not run the request is not passed on, nor is
+// one that breaks off while it is held back, nor one that is not the answer to
+// this request: the caller of Do may then try again.
 func (h Hop) Do(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) Result {
+	var f Result
+	for range staleMax {
+		var stale bool
+		if f, stale = h.once(x, w, r, b); !stale || x.Err() != nil {
+			return f
+		}
+	}
+	return f
+}
+
+// once is Do on one connection. It tells whether that was a kept one that was
+// closed before anything was written to it, which says nothing about whether
+// the address takes requests.
+func (h Hop) once(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) (_ Result, stale bool) {
 	d, stop := b.attempt()
 	defer stop()
-	q := h.request(x, r, d, b.length)
-	p, err := h.Transport.RoundTrip(q)
+	var s sent
+	p, err := h.Transport.RoundTrip(h.request(s.trace(x), r, d, b.length))
 	if err != nil {
-		return broken(x, err)
+		f := broken(x, err, s.nothing())
+		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
-	f := Result{Outcome: contract.Run}
+	return h.answered(w, r, p), false
+}
+
+// answered passes the answer p on or tells why it must not be.
+func (h Hop) answered(w http.ResponseWriter, r *http.Request, p *http.Response) Result {
+	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
 		f.Load = p.Header.Get(contract.LoadHeader)
@@ -69,15 +105,81 @@
 			f.Text = "the daemon beside the upstream answered " + c
 			return f
 		}
+	} else if v := h.verdict(r, p); !v.OK() {
+		return v
+	}
+	k := buffers.Get().(*[bufferBytes]byte)
+	defer buffers.Put(k)
+	n := 0
+	if h.holds(p) {
+		var whole bool
+		var err error
+		n, whole, err = fill(p.Body, k[:])
+		if err != nil {
+			return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
+		}
+		if whole && p.ContentLength < 0 && len(p.Trailer) == 0 {
+			p.ContentLength = int64(n) // it is whole, and its length is now known
+			p.Header.Set("Content-Length", strconv.Itoa(n))
+		}
 	}
 	f.Begun = true
-	if err := pass(w, p); err != nil {
+	if h.Before != nil {
+		h.Before(w.Header())
+	}
+	if err := pass(w, p, h.Headers, k, n); err != nil {
 		f.Code = result.AnswerCut
 		f.Text = err.Error()
 	}
 	return f
 }
 
+// fill reads r into b and tells whether that was all of it.
+func fill(r io.Reader, b []byte) (n int, whole bool, err error) {
+	for n < len(b) {
+		m, err := r.Read(b[n:])
+		n += m
+		if errors.Is(err, io.EOF) {
+			return n, true, nil
+		}
+		if err != nil {
+			return n, false, err
+		}
+	}
+	return n, false, nil
+}
+
+// holds tells whether to read the answer before any of it is passed on.
+func (h Hop) holds(p *http.Response) bool {
+	if p.ContentLength < 0 {
+		return h.HoldBack
+	}
+	return p.ContentLength <= bufferBytes
+}
+
+// verdict tells whether p is the worker's answer to r that a caller may see.
+func (h Hop) verdict(r *http.Request, p *http.Response) Result {
+	n := h.Headers
+	if n.RequestID == "" {
+		return Result{}
+	}
+	id := p.Header.Get(n.RequestID)
+	notRun := p.Header.Get(n.NotRun) != ""
+	switch {
+	case id != "" && id != r.Header.Get(n.RequestID):
+		return unknown(result.WrongAnswer, "the answer is to the request "+id)
+	case p.StatusCode == http.StatusMisdirectedRequest:
+		return NotRun(result.WrongInstance, "another worker has the address")
+	case notRun:
+		return NotRun(result.WorkerRefused, "the worker answered "+strconv.Itoa(p.StatusCode)+" and did not run it")
+	case id == "" || p.Header.Get(n.Seal) == "":
+		return unknown(result.WrongAnswer, "the answer "+strconv.Itoa(p.StatusCode)+" bears no proof of the worker")
+	case p.Header.Get("Content-Encoding") != "":
+		return unknown(result.WrongAnswer, "the answer is encoded, which nobody asked for")
+	}
+	return Result{}
+}
+
 func (h Hop) request(x context.Context, r *http.Request, d io.ReadCloser, length int64) *http.Request {
 	q := &http.Request{
 		Method:        r.Method,
@@ -91,44 +193,21 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	copyHeader(q.Header, r.Header)
+	copyHeader(q.Header, r.Header, h.Headers)
 	if _, ok := q.Header["User-Agent"]; !ok {
 		q.Header["User-Agent"] = []string{""} // else net/http adds its own
 	}
 	for _, f := range h.Set {
 		q.Header[f.Name] = []string{f.Value}
 	}
-	if h.Once {
-		keepOnce(q)
-	}
 	return q.WithContext(x)
 }
 
-// keepOnce keeps net/http from sending the request again by itself when the
-// connection breaks. It does that with an empty body, which it can repeat, for
-// methods that are usually idempotent and for requests with an idempotency
-// key, whatever the contract of the service says of them.
-func keepOnce(q *http.Request) {
-	for _, k := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		if v, ok := q.Header[k]; ok {
-			delete(q.Header, k)
-			q.Header[strings.ToLower(k)] = v // the same on the wire, unseen by net/http
-		}
-	}
-	switch q.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		if q.Body == http.NoBody {
-			q.Body = keptReader{bytes.NewReader(nil)}
-		}
-	}
-}
-
-// broken classifies a hop without an answer. Only a connection that was never
-// made proves that the request did not run.
-func broken(x context.Context, err error) Result {
-	f := Result{Outcome: contract.Unknown, Code: result.AnswerLost, Text: err.Error()}
-	var o *net.OpError
-	if errors.As(err, &o) && o.Op == "dial" {
+// broken classifies a hop without an answer. Only that nothing was written
+// proves that the request did not run.
+func broken(x context.Context, err error, nothing bool) Result {
+	f := unknown(result.AnswerLost, err.Error())
+	if nothing {
 		f.Outcome = contract.NotRun
 		f.Code = result.ConnectFailed
 	}
@@ -141,38 +220,37 @@
 	return f
 }
 
-// pass copies the answer. An error means that it is not whole: the caller of
-// Do has to cut the connection, since the status has been sent.
-func pass(w http.ResponseWriter, p *http.Response) error {
-	copyHeader(w.Header(), p.Header)
-	for k := range p.Trailer {
-		w.Header().Add("Trailer", k)
+// pass copies the answer, of which n bytes of the body are in k already. An
+// error means that it is not whole: the caller of Do has to cut the
+// connection, since the status has been sent.
+func pass(w http.ResponseWriter, p *http.Response, names contract.Headers, k *[bufferBytes]byte, n int) error {
+	copyHeader(w.Header(), p.Header, names)
+	for t := range p.Trailer {
+		w.Header().Add("Trailer", t)
 	}
 	w.WriteHeader(p.StatusCode)
-	if err := copyBody(w, p); err != nil {
+	if err := copyBody(w, p, k, n); err != nil {
 		return err
 	}
-	for k, v := range p.Trailer {
-		w.Header()[http.TrailerPrefix+k] = v
+	for t, v := range p.Trailer {
+		w.Header()[http.TrailerPrefix+t] = v
 	}
 	return nil
 }
 
-const copyBytes = 32 << 10
+// bufferBytes is how much of an answer is held back at most.
+const bufferBytes = 32 << 10
 
-var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
 // copyBody flushes what has no known length as it comes, since the sender may
 // wait for a reaction to it.
-func copyBody(w http.ResponseWriter, p *http.Response) error {
+func copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int) error {
 	stream := p.ContentLength < 0
 	c := http.NewResponseController(w)
-	b := buffers.Get().(*[copyBytes]byte)
-	defer buffers.Put(b)
 	for {
-		n, err := p.Body.Read(b[:])
 		if n > 0 {
-			if _, err := w.Write(b[:n]); err != nil {
+			if _, err := w.Write(k[:n]); err != nil {
 				return err
 			}
 			if stream {
@@ -181,6 +259,11 @@
 				}
 			}
 		}
+		var err error
+		n, err = p.Body.Read(k[:])
+		if n > 0 {
+			continue
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -201,7 +284,7 @@
 
 // copyHeader copies what passes through: neither headers of the connection,
 // named or by the Connection header, nor those of figwheel itself.
-func copyHeader(to, from http.Header) {
+func copyHeader(to, from http.Header, names contract.Headers) {
 	var drop []string
 	for _, v := range from["Connection"] {
 		for n := range strings.SplitSeq(v, ",") {
@@ -209,7 +292,8 @@
 		}
 	}
 	for k, v := range from {
-		if hopByHop(k) || strings.HasPrefix(k, contract.HeaderPrefix) || slices.Contains(drop, k) {
+		own := strings.HasPrefix(k, contract.HeaderPrefix) && !names.Passes(k)
+		if own || hopByHop(k) || slices.Contains(drop, k) {
 			continue
 		}
 		to[k] = v
@@ -226,19 +310,3 @@
 	}
 	return result.Code(n)
 }
-
-// NewTransport returns a transport with at most n connections to an address,
-// 0 for no limit.
-func NewTransport(n int, dial time.Duration) *http.Transport {
-	const idleTime = 90 * time.Second
-	const idlePerAddress = 256
-	d := &net.Dialer{Timeout: dial}
-	return &http.Transport{
-		DialContext:           d.DialContext,
-		MaxConnsPerHost:       n,
-		MaxIdleConnsPerHost:   idlePerAddress,
-		IdleConnTimeout:       idleTime,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: 0,
-	}
-}
--- a/link/choose.go
+++ b/link/choose.go
@@ -3,6 +3,20 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
+)
+
+const (
+	// farCost is what another site costs a request: so much longer may it take
+	// at a near instance before a far one is chosen. Bytes between data centres
+	// have a price, and the way there and back takes some of it.
+	farCost = 20 * time.Millisecond
+	// holdFirst is taken for the time at an instance that is not known yet.
+	holdFirst = 50 * time.Millisecond
+	// avoidedCost is what an instance costs that failed lately.
+	avoidedCost = 10 * time.Second
+	// compared is how many candidates a choice compares at most.
+	compared = 8
 )
 
 // Candidate is one ready instance of a service as this daemon sees it.
@@ -15,72 +29,67 @@
 	Peer     *Peer
 }
 
-// Candidates are the ready instances of one service, those of the own site
-// first. They are immutable.
-type Candidates struct {
-	all  []Candidate
-	near int
-}
+// Free tells whether the instance seems to have a free slot.
+func (c *Candidate) Free(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
 
-// NewCandidates orders l, which it keeps.
-func NewCandidates(l []Candidate) Candidates {
-	c := Candidates{all: make([]Candidate, 0, len(l))}
-	for _, v := range l {
-		if v.SameSite {
-			c.all = append(c.all, v)
-		}
+// cost is how long a request would take there: the wait for a slot, the work,
+// and what the way costs.
+func (c *Candidate) cost(now time.Time) time.Duration {
+	h := c.Peer.Hold()
+	if h == 0 {
+		h = holdFirst
 	}
-	c.near = len(c.all)
-	for _, v := range l {
-		if !v.SameSite {
-			c.all = append(c.all, v)
-		}
+	slots := max(1, c.Slots)
+	load := c.Peer.Load(now)
+	d := h
+	if n := load + 1 - slots; n > 0 {
+		d += h * time.Duration(n) / time.Duration(slots)
 	}
-	return c
+	// Of two that have free slots the emptier one is the safer guess.
+	d += time.Duration(int64(h) * min(load, slots) / slots / 4)
+	if !c.SameSite && !c.Local {
+		d += farCost
+	}
+	if c.Peer.Avoided(now) {
+		d += avoidedCost
+	}
+	return d
 }
 
+// Candidates are the ready instances of one service. They are immutable.
+type Candidates struct{ all []Candidate }
+
+// NewCandidates returns candidates; it keeps l.
+func NewCandidates(l []Candidate) Candidates { return Candidates{l} }
+
 // Len returns how many candidates there are.
 func (c Candidates) Len() int { return len(c.all) }
 
-// Choose returns the candidate for the next attempt, or nil. Candidates named
-// in tried are left out. Of two picked at random from the own site the less
-// loaded wins; when it has no slot free, two of all sites compete with it, so
-// that load spills over only once the near ones are full.
-func (c Candidates) Choose(r *rand.Rand, tried []string) *Candidate {
-	n := c.best(r, 0, c.near, tried)
-	if n != nil && n.Peer.Load() < n.Slots {
-		return n
-	}
-	f := c.best(r, c.near, len(c.all), tried)
-	if n == nil || f != nil && f.share() < n.share() {
-		return f
-	}
-	return n
-}
-
-// best picks two from all[from:to] and returns the one with the smaller share
-// of its slots taken.
-func (c Candidates) best(r *rand.Rand, from, to int, tried []string) *Candidate {
-	if to <= from {
+// Choose returns the candidate for the next attempt at now, or nil. Candidates
+// named in tried are left out. It answers a load that is uneven over sites and
+// instances of unequal speed: the candidate with the least expected time wins,
+// of all when they are few, otherwise of some picked at random, so that many
+// daemons with the same news do not all choose the same one.
+func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string) *Candidate {
+	n := len(c.all)
+	if n == 0 {
 		return nil
 	}
-	a := c.pick(r.IntN(to-from), from, to, tried)
-	b := c.pick(r.IntN(to-from), from, to, tried)
-	if a == nil || b != nil && b.share() < a.share() {
-		return b
-	}
-	return a
-}
-
-// pick returns the candidate at i, or the next one that was not tried.
-func (c Candidates) pick(i, from, to int, tried []string) *Candidate {
-	for k := range to - from {
-		v := &c.all[from+(i+k)%(to-from)]
-		if !slices.Contains(tried, v.Name) {
-			return v
+	var best *Candidate
+	var least time.Duration
+	first := r.IntN(n)
+	seen := 0
+	for i := range n {
+		k := &c.all[(first+i)%n]
+		if slices.Contains(tried, k.Name) {
+			continue
+		}
+		if d := k.cost(now); best == nil || d < least {
+			best, least = k, d
+		}
+		if seen++; seen == compared {
+			break
 		}
 	}
-	return nil
+	return best
 }
-
-func (c *Candidate) share() float64 { return float64(c.Peer.Load()) / float64(max(1, c.Slots)) }
--- a/link/peer.go
+++ b/link/peer.go
@@ -1,28 +1,98 @@
 package link
 
 import (
+	"fmt"
 	"strconv"
+	"strings"
 	"sync/atomic"
+	"time"
 )
 
+// trustTime is how long the load that an instance reported counts. Requests
+// take some hundred milliseconds: after that little of it is still there.
+const trustTime = 500 * time.Millisecond
+
+// Load is what an instance says of the load of its worker.
+type Load struct {
+	InFlight int           // at the worker and waiting for it
+	Hold     time.Duration // mean time that a request takes there, 0 if unknown
+}
+
+// String returns the load as it rides on answers: the requests in flight and
+// the microseconds that one takes.
+func (l Load) String() string { return fmt.Sprintf("%d %d", l.InFlight, l.Hold.Microseconds()) }
+
+// ParseLoad reads a load; it tells whether there is one.
+func ParseLoad(s string) (Load, bool) {
+	a, b, _ := strings.Cut(s, " ")
+	n, err := strconv.Atoi(a)
+	if err != nil || n < 0 {
+		return Load{}, false
+	}
+	us, err := strconv.ParseInt(b, 10, 64)
+	if err != nil || us < 0 {
+		us = 0
+	}
+	return Load{n, time.Duration(us) * time.Microsecond}, true
+}
+
 // Peer is what this daemon knows of the load of one instance; it is shared by
 // all views and safe for concurrent use.
 type Peer struct {
 	own      atomic.Int64 // sent by this daemon and not answered yet
-	reported atomic.Int64 // in flight at the instance, by its last answer
+	expected atomic.Int64 // reported by the last answer, and sent since
+	reported atomic.Int64 // Unix nanoseconds of that answer
+	hold     atomic.Int64 // nanoseconds that a request takes there
+	badUntil atomic.Int64 // Unix nanoseconds until which it is avoided
 }
 
 // Begin counts a request sent to the instance.
-func (p *Peer) Begin() { p.own.Add(1) }
+func (p *Peer) Begin() {
+	p.own.Add(1)
+	p.expected.Add(1)
+}
 
-// End counts its answer. The load is what the answer says was in flight, or
-// empty when there was no answer.
-func (p *Peer) End(load string) {
+// End counts its answer at now. The load is what the answer says was in
+// flight, or empty when there was no answer.
+func (p *Peer) End(load string, now time.Time) {
 	p.own.Add(-1)
-	if n, err := strconv.ParseInt(load, 10, 64); err == nil && n >= 0 {
-		p.reported.Store(n)
+	l, ok := ParseLoad(load)
+	if !ok {
+		p.expected.Add(-1)
+		return
 	}
+	p.Report(l, now)
 }
 
-// Load returns the estimate of requests in flight at the instance.
-func (p *Peer) Load() int64 { return max(p.own.Load(), p.reported.Load()) }
+// Report takes in what the instance says of its load at now.
+func (p *Peer) Report(l Load, now time.Time) {
+	p.expected.Store(int64(l.InFlight))
+	p.reported.Store(now.UnixNano())
+	if l.Hold > 0 {
+		p.hold.Store(int64(l.Hold))
+	}
+}
+
+// Load returns the estimate of requests in flight at the instance. What it
+// reported loses its weight with its age, so that an instance that was once
+// full is tried again.
+func (p *Peer) Load(now time.Time) int64 {
+	own := p.own.Load()
+	age := now.UnixNano() - p.reported.Load()
+	if age >= int64(trustTime) {
+		return own
+	}
+	more := max(0, p.expected.Load()-own)
+	return own + int64(float64(more)*(1-float64(age)/float64(trustTime))+0.5)
+}
+
+// Hold returns the mean time that a request takes at the instance, 0 if that
+// is not known.
+func (p *Peer) Hold() time.Duration { return time.Duration(p.hold.Load()) }
+
+// Avoid keeps requests away until the time t unless there is no other
+// instance.
+func (p *Peer) Avoid(t time.Time) { p.badUntil.Store(t.UnixNano()) }
+
+// Avoided tells whether the instance is to be avoided at now.
+func (p *Peer) Avoided(now time.Time) bool { return now.UnixNano() < p.badUntil.Load() }
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,6 +14,7 @@
 
 const (
 	dialTime        = 500 * time.Millisecond
+	idleTime        = 30 * time.Second
 	idlePerAddress  = 2
 	idleAll         = 2 * Fanout // probes go to all others in turn: few connections are met again
 	messageBytesMax = 16 << 20
@@ -32,7 +33,7 @@
 // NewClient returns a client whose traffic m counts. Connections are opened by
 // d, or as usual if that is nil.
 func NewClient(m *Meter, d Dial) *Client {
-	t := hop.NewTransport(0, dialTime)
+	t := hop.NewTransport(0, dialTime, idleTime)
 	if d == nil {
 		d = t.DialContext
 	}
--- a/result/code.go
+++ b/result/code.go
@@ -39,6 +39,7 @@
 	BadChangeID
 	NotReady
 	TextTooLong
+	Managed
 )
 
 // Codes of calls.
@@ -57,6 +58,11 @@
 	WrongService
 	RouteWithoutService
 	BadDeadline
+	WorkerRefused
+	WrongInstance
+	WrongAnswer
+	NoRetryLeft
+	RequestTooLarge
 )
 
 // Codes of the platform's object API.
@@ -86,6 +92,7 @@
 	HashMismatch
 	BadAnnouncement
 	Stopped
+	OldAnnouncement
 )
 
 // Entry is one row of the table of codes.
@@ -123,6 +130,7 @@
 	{BadChangeID, "BadChangeID", "A change id has 1 to 64 letters, digits, '-' or '_'."},
 	{NotReady, "NotReady", "The daemon does not know yet what is in force."},
 	{TextTooLong, "TextTooLong", "The submitter has at most 128 bytes, the reason at most 1024."},
+	{Managed, "Managed", "The configuration is written on the platform and not submitted to daemons."},
 
 	{NoRoute, "NoRoute", "No route matches the request; it was not run."},
 	{NoConfiguration, "NoConfiguration", "The daemon has no configuration yet; the request was not run."},
@@ -139,6 +147,12 @@
 	{RouteWithoutService, "RouteWithoutService", "A route leads to a service the site does not have; the request was not run."},
 	{BadDeadline, "BadDeadline", "The deadline header is not a number of milliseconds; the request was not run."},
 
+	{WorkerRefused, "WorkerRefused", "The worker said that it did not run the request."},
+	{WrongInstance, "WrongInstance", "Another worker has taken over the address; the request was not run."},
+	{WrongAnswer, "WrongAnswer", "What the worker sent is not its answer to the request, which may have run."},
+	{NoRetryLeft, "NoRetryLeft", "The budget of the service for retries is used up."},
+	{RequestTooLarge, "RequestTooLarge", "The body exceeds the limit of the configuration; the request was not run."},
+
 	{PlatformUnavailable, "PlatformUnavailable", "The platform did not take the request; nothing was written."},
 	{VersionConflict, "VersionConflict", "The object has another version than the condition names."},
 	{NotFound, "NotFound", "There is no such object."},
@@ -158,6 +172,7 @@
 	{HashMismatch, "HashMismatch", "A content does not have the hash it is named by."},
 	{BadAnnouncement, "BadAnnouncement", "A worker's announcement cannot be read."},
 	{Stopped, "Stopped", "The daemon is stopping."},
+	{OldAnnouncement, "OldAnnouncement", "A worker's announcement is older than what is known of the worker here."},
 }
 
 // Table returns every code in ascending order.
--- a/site/route.go
+++ b/site/route.go
@@ -6,6 +6,7 @@
 	"net/textproto"
 	"slices"
 	"strings"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 
@@ -164,17 +165,33 @@
 	return l.lines
 }
 
-// Route is one compiled route of a site.
+// Route is one compiled route of a site. What a route leaves at zero follows
+// from the contract of its service.
 type Route struct {
 	Name       string
 	Host       string
 	PathPrefix string
-	Methods    []string
-	Headers    []Header
+	Methods    []string `json:",omitempty"`
+	Headers    []Header `json:",omitempty"`
 	Targets    []Split
+	Repeat     Repeat        // whether its requests may run more than once
+	Timeout    time.Duration // longest time that a request is kept waiting
+	Goal       time.Duration // time in which an answer is worth most
+	Attempts   int           // workers that one request may be sent to
+	Rank       int           // 0 is the most important
 	total      int
 }
 
+// Repeat tells whether the requests of a route may run more than once.
+type Repeat int
+
+// Repeats: as the service's contract says, freely, or never.
+const (
+	RepeatByService Repeat = iota
+	RepeatAllowed
+	RepeatForbidden
+)
+
 // Pick returns the service for a random number n, of any size.
 func (r Route) Pick(n uint64) string {
 	if len(r.Targets) == 1 {
--- a/site/service.go
+++ b/site/service.go
@@ -129,7 +129,8 @@
 	Connections   int
 	Queue         int
 	RetryPercent  int
-	NotIdempotent []Operation
+	NotIdempotent []Operation `json:",omitempty"`
+	HealthPath    string      `json:",omitempty"` // where a worker tells its health; may be empty
 }
 
 // compile fills what was left open: a queue as long as the slots.
--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -17,6 +17,7 @@
 	services map[string]*Service
 	byHost   map[string][]Route
 	anyHost  []Route
+	limits   Limits
 }
 
 // Snapshot compiles the configuration of a site under the version number and
@@ -63,6 +64,14 @@
 // Content returns the hash of the content that the snapshot was compiled from.
 func (s *Snapshot) Content() string { return s.content }
 
+// Limits returns what bounds the callers' requests.
+func (s *Snapshot) Limits() Limits {
+	if s == nil {
+		return Limits{}
+	}
+	return s.limits
+}
+
 // Site returns the name of the site.
 func (s *Snapshot) Site() string { return s.site }
 
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -29,8 +30,74 @@
 	Address string
 	State   string
 	Slots   int // 0 leaves it to the configuration
+
+	ID       string        `json:"-"` // of this start of the worker, empty if it has none
+	Sequence uint64        `json:"-"` // grows with each announcement of one start
+	Born     int64         `json:"-"` // Unix milliseconds of the start, 0 if not told
+	ColdLeft time.Duration `json:"-"` // for which the worker is still slow
+}
+
+// historyMax bounds the ids of earlier workers that are remembered.
+const historyMax = 32
+
+// History orders the announcements that come to one daemon. They may be late
+// and from an earlier start of the worker, or from one that is gone. The zero
+// value has seen none.
+type History struct {
+	last Announcement
+	gone []string // ids that another one replaced, or that left
+}
+
+// Take returns the announcement to act on. An error says why a is not news.
+// A worker that leaves says no more than its id and keeps what it said before.
+func (h *History) Take(a Announcement) (Announcement, error) {
+	if a.ID == "" {
+		h.last = a
+		return a, nil
+	}
+	if a.ID != h.last.ID {
+		if slices.Contains(h.gone, a.ID) || a.Born > 0 && a.Born < h.last.Born || a.State == leftState {
+			return a, result.New(result.OldAnnouncement, "worker %s was replaced by %s", a.ID, h.last.ID)
+		}
+		h.forget(h.last.ID)
+		h.last = a
+		return a, nil
+	}
+	if a.State == leftState {
+		n := h.last
+		n.State = leftState
+		h.last = n
+		return n, nil
+	}
+	restarted := a.Born > h.last.Born && h.last.Born > 0
+	if a.Sequence <= h.last.Sequence && !restarted || a.Born > 0 && a.Born < h.last.Born {
+		return a, result.New(result.OldAnnouncement, "worker %s said %d after %d", a.ID, a.Sequence, h.last.Sequence)
+	}
+	// One that is leaving does not come back but by a new start.
+	if h.last.State != readyState && a.State == readyState && !restarted {
+		return a, result.New(result.OldAnnouncement, "worker %s is leaving", a.ID)
+	}
+	h.last = a
+	return a, nil
+}
+
+func (h *History) forget(id string) {
+	if id == "" {
+		return
+	}
+	h.gone = append(h.gone, id)
+	if len(h.gone) > historyMax {
+		h.gone = h.gone[1:]
+	}
 }
 
+// The states as they are announced.
+const (
+	readyState    = "Ready"
+	drainingState = "Draining"
+	leftState     = "Left"
+)
+
 // AnnounceHandler takes announcements and hands each to Take, with its time.
 type AnnounceHandler struct {
 	Take func(a Announcement, now time.Time)
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -3,27 +3,47 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"figwheel/contract"
 	"figwheel/hop"
+	"figwheel/link"
 	"figwheel/result"
 	"figwheel/site"
 )
 
-const dialTime = time.Second
+const (
+	dialTime = 500 * time.Millisecond
 
-// lateTime is how long a worker that is leaving still gets requests from
-// daemons that have not heard of it yet.
-const lateTime = 500 * time.Millisecond
+	// lateTime is how long a worker that is leaving still gets requests from
+	// daemons that have not heard of it yet.
+	lateTime = 500 * time.Millisecond
+
+	// queuePerSlot bounds the queue where the configuration leaves it open.
+	queuePerSlot = 8
+
+	// idleTime is how long a connection to the worker is kept unused. Workers
+	// close idle ones on their own, and a request that meets that moment may
+	// not be sent again.
+	idleTime = 3 * time.Second
+)
 
 // Worker is the way to the worker beside the daemon, the only one there is,
 // so that its count of requests in flight is exact. The zero value refuses
 // every request.
 type Worker struct {
-	gate  Gate
-	state atomic.Pointer[workerState]
+	// Headers are the names that the worker knows; set before use.
+	Headers contract.Headers
+	// HoldBack keeps answers back until they are whole, see hop.Hop.
+	HoldBack bool
+	// Unreachable is told that the worker takes no connections; may be nil.
+	Unreachable func(a Announcement)
+
+	gate     Gate
+	state    atomic.Pointer[workerState]
+	answered atomic.Int64 // Unix nanoseconds of the last answer
 }
 
 type workerState struct {
@@ -46,16 +66,22 @@
 		n.slots = s.Slots
 		n.queue = s.Queue
 	}
-	if a.Slots > 0 {
+	switch {
+	case n.slots == 0:
+		n.slots = a.Slots // the configuration leaves it to the worker
+	case a.Slots > 0:
 		n.slots = min(n.slots, a.Slots)
 	}
+	if n.queue == 0 && s != nil && s.Slots == 0 {
+		n.queue = queuePerSlot * n.slots
+	}
 	if o != nil && o.Address == n.Address && o.connections == n.connections {
 		n.transport = o.transport
 	} else {
-		n.transport = hop.NewTransport(n.connections, dialTime)
+		n.transport = hop.NewTransport(n.connections, dialTime, idleTime)
 	}
 	k.state.Store(n)
-	k.gate.SetLimits(n.slots, n.queue)
+	k.gate.SetLimits(n.slots, n.queue, now)
 	if o != nil && o.transport != n.transport {
 		o.transport.CloseIdleConnections()
 	}
@@ -65,9 +91,9 @@
 // was never ready has nothing to be late for.
 func leavingSince(o *workerState, a Announcement, now time.Time) time.Time {
 	switch {
-	case a.State == "Ready" || o == nil:
+	case a.State == readyState || o == nil:
 		return time.Time{}
-	case o.State == "Ready":
+	case o.State == readyState:
 		return now
 	}
 	return o.leaving
@@ -75,18 +101,30 @@
 
 // takes tells whether the worker gets requests at now.
 func (s *workerState) takes(now time.Time) bool {
-	return s.State == "Ready" || s.State == "Draining" && now.Sub(s.leaving) < lateTime
+	return s.State == readyState || s.State == drainingState && now.Sub(s.leaving) < lateTime
 }
 
 // InFlight returns the requests at the worker and waiting for it.
 func (k *Worker) InFlight() int { return k.gate.InFlight() }
 
+// Load returns what the worker's daemon tells others of its load.
+func (k *Worker) Load() link.Load {
+	n, h := k.gate.Load()
+	return link.Load{InFlight: n, Hold: h}
+}
+
+// Answered returns when the worker last answered a request.
+func (k *Worker) Answered() time.Time { return time.Unix(0, k.answered.Load()) }
+
 // Request is what the daemon knows of a request beyond what stands in it.
 type Request struct {
+	Ask
 	Service string
+	Origin  string // service of the worker beside which the request began
 	Body    *hop.Body
-	Once    bool        // it must not run twice
-	Set     []hop.Field // headers for the worker
+	Set     []hop.Field         // further headers for the worker
+	Now     func() time.Time    // for the time after the wait
+	Before  func(h http.Header) // called before an answer is begun; may be nil
 }
 
 // Serve passes a request to the worker and its answer to w. The deadline is
@@ -99,14 +137,52 @@
 	if !s.takes(now) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
-	if c := k.gate.Enter(x); c != 0 {
+	if c := k.gate.Enter(x, now, q.Ask); c != 0 {
 		return hop.NotRun(c, "no slot of the worker became free")
 	}
-	defer k.gate.Leave()
-	h := hop.Hop{Transport: s.transport, Address: s.Address, Once: q.Once, Set: q.Set}
-	f := h.Do(x, w, r, q.Body)
-	if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
-		f.Code = result.ConnectFailed
+	began := q.Now()
+	defer func() {
+		t := q.Now()
+		k.gate.Leave(t, t.Sub(began))
+	}()
+	// The worker may have left, or another one come, while the request waited.
+	if s = k.state.Load(); s.Service != q.Service || !s.takes(began) {
+		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
+	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began)}
+	f := h.Do(x, w, r, q.Body)
+	k.note(x, s, &f, q.Now())
 	return f
 }
+
+// fields returns the headers for the worker. The time left is taken anew after
+// the wait for a slot.
+func (k *Worker) fields(x context.Context, s *workerState, q Request, now time.Time) []hop.Field {
+	l := slices.Clip(q.Set)
+	if d, ok := x.Deadline(); ok {
+		l = append(l, hop.Field{Name: k.Headers.Deadline, Value: contract.Remaining(now, d)})
+	}
+	if k.Headers.Origin != "" {
+		l = append(l, hop.Field{Name: k.Headers.Origin, Value: q.Origin})
+	}
+	if k.Headers.Target != "" && s.ID != "" {
+		l = append(l, hop.Field{Name: k.Headers.Target, Value: s.ID})
+	}
+	return l
+}
+
+// note draws what follows from how a request ended at the worker.
+func (k *Worker) note(x context.Context, s *workerState, f *hop.Result, now time.Time) {
+	if f.Status > 0 || f.Code == result.WorkerRefused {
+		k.answered.Store(now.UnixNano())
+	}
+	if f.Outcome != contract.NotRun || x.Err() != nil {
+		if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
+			f.Code = result.ConnectFailed
+		}
+		return
+	}
+	if (f.Code == result.ConnectFailed || f.Code == result.WrongInstance) && k.Unreachable != nil {
+		k.Unreachable(s.Announcement)
+	}
+}
