Configuration is polled by three daemons and told on; near instances by the goal

A watch can be silent without being broken, so that only a read says what is newest. Three daemons of the fleet now read the object at a pace of 750 ms, the rest hear at once by gossip; each message says how old the newest confirmation is, and who has none younger than 1.25 s reads for itself. Ruled out: a poll by every daemon (cost grows with the fleet), a shorter watch (the same silence).

--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -165,7 +165,7 @@
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		if m["s-77"].Choose(now, r, nil) == nil {
+		if m["s-77"].Choose(now, r, nil, link.FarCost) == nil {
 			b.Fatal("no choice")
 		}
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -194,12 +194,12 @@
 	wait := false
 	for i := range asksMax {
 		now := h.Now()
-		k := l.Choose(now, c.random, c.tried)
+		k := l.Choose(now, c.random, c.tried, c.far())
 		if k == nil && !wait && f.Code == result.Overloaded {
 			// Everybody is full: wait where it takes least.
 			wait = true
 			c.tried = c.tried[:0]
-			k = l.Choose(now, c.random, nil)
+			k = l.Choose(now, c.random, nil, c.far())
 		}
 		if k == nil {
 			return f
@@ -284,6 +284,18 @@
 	return l
 }
 
+// farShare is the part of its goal by which a request may be later at a near
+// instance: while it reaches its goal there, that costs its caller nothing,
+// and bytes between data centres have a price.
+const farShare = 0.25
+
+func (c *call) far() time.Duration {
+	if g := c.route.Goal; g > 0 {
+		return time.Duration(farShare * float64(g))
+	}
+	return link.FarCost
+}
+
 // retries returns what the service may spend on retries at this daemon.
 func (h *Handler) retries(c *call) contract.Retries {
 	r := c.view.Retries
--- /dev/null
+++ b/change/source.go
@@ -0,0 +1,81 @@
+package change
+
+import (
+	"math"
+	"time"
+)
+
+// Poll is when a daemon reads a configuration that others write. Some few of
+// the fleet read it at a fixed pace, the rest hear from them. A read is the
+// store's word on what is newest; a watch may stay silent for seconds without
+// breaking, and costs a call for each change and watcher. The zero value has
+// read nothing.
+type Poll struct {
+	confirmed time.Time // when the store was last known to have nothing newer
+	read      time.Time // when this daemon read last
+	failures  int       // of reads in a row
+}
+
+const (
+	// Pollers is how many daemons read at the fixed pace: with two of them cut
+	// off from the store or paused one is left.
+	Pollers = 3
+	// PollTime is the pace of one of them. Three are not in step, so that a
+	// change is seen after a third of it on average and after all of it at worst.
+	PollTime = 750 * time.Millisecond
+	// TrustTime is the age of the newest confirmation above which a daemon reads
+	// for itself: then those that should have told it are gone or cut off.
+	TrustTime = 1250 * time.Millisecond
+
+	// storeShare is what all daemons together may read a second when none of
+	// them is confirmed, far below the rate of the store.
+	storeShare  = 100
+	pollWaitMax = 5 * time.Second
+)
+
+// Confirm notes that the store had nothing newer than what is known here at
+// the time t.
+func (p *Poll) Confirm(t time.Time) {
+	if t.After(p.confirmed) {
+		p.confirmed = t
+	}
+}
+
+// Began notes that a read starts at now.
+func (p *Poll) Began(now time.Time) { p.read = now }
+
+// Ended notes how a read ended that began at the time t.
+func (p *Poll) Ended(t time.Time, ok bool) {
+	if !ok {
+		p.failures++
+		return
+	}
+	p.failures = 0
+	p.Confirm(t)
+}
+
+// Age returns how long ago the newest confirmation was; false without one.
+func (p *Poll) Age(now time.Time) (time.Duration, bool) {
+	return now.Sub(p.confirmed), !p.confirmed.IsZero()
+}
+
+// Due tells whether to read at now. The rank is the daemon's place among the
+// live, below 0 if it has none, and jitter a random number from 0 to 1, drawn
+// for each read, that keeps daemons from reading in step.
+func (p *Poll) Due(now time.Time, rank, live int, jitter float64) bool {
+	if p.read.IsZero() {
+		return true
+	}
+	wait := float64(PollTime)
+	if rank < 0 || rank >= Pollers {
+		if now.Sub(p.confirmed) < TrustTime {
+			return false
+		}
+		wait = max(wait, float64(live)/storeShare*float64(time.Second))
+	}
+	if p.failures > 0 {
+		wait = min(wait*math.Pow(2, float64(p.failures-1)), float64(pollWaitMax))
+		wait *= 0.5 + jitter // apart, also when all failed at one time
+	}
+	return now.Sub(p.read) >= time.Duration(wait)
+}
--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"log"
 	"log/slog"
 	"os"
 	"runtime/debug"
@@ -11,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"figwheel/daemon"
+	"figwheel/event"
 	"figwheel/platform"
 	"figwheel/settings"
 )
@@ -24,9 +27,9 @@
 
 // tuneCollector gives memory for steadier calls, unless the environment says
 // otherwise.
-func tuneCollector() {
+func tuneCollector(percent int) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(cmp.Or(percent, gcPercent))
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimitBytes)
@@ -42,8 +45,18 @@
 		if err != nil || *k {
 			return err
 		}
-		tuneCollector()
-		l := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: s.Level()}))
+		tuneCollector(s.CollectorPercent)
+		o := event.NewWriter()
+		written := make(chan error, 1)
+		z, stop := context.WithCancel(context.WithoutCancel(x))
+		go func() { written <- o.Run(z, os.Stdout) }()
+		defer func() {
+			stop()
+			<-written // without standard output there is nowhere to say so
+		}()
+		l := slog.New(slog.NewJSONHandler(o, &slog.HandlerOptions{Level: s.Level()}))
+		log.SetFlags(0)
+		log.SetOutput(slog.NewLogLogger(l.Handler(), slog.LevelDebug).Writer()) // what libraries print
 		d, err := daemon.New(daemon.Options{
 			Settings: s,
 			Store:    platform.Client{Base: s.Platform},
--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -23,6 +23,7 @@
 
 	listWaitMin = 500 * time.Millisecond
 	listWaitMax = 10 * time.Second
+	listKeepMax = 5 * time.Second // for parts of the fleet that met only among themselves
 
 	watchers       = 2 // of each site
 	watchTime      = 5 * time.Minute
@@ -114,7 +115,8 @@
 // site: parts of the fleet that found each other only among themselves, after
 // a herd or a cut, meet again through them.
 func (c *control) tendJoin(now time.Time) {
-	if c.joined() && !c.watching || now.Before(c.joinAt) {
+	keeper := c.d.managed() && c.table.Rank("", "join", c.table.Self().Name) == 0
+	if c.joined() && !c.watching && !keeper || now.Before(c.joinAt) {
 		return
 	}
 	c.joinAt = now.Add(joinTime + time.Duration(c.random.Int64N(int64(joinTime))))
@@ -123,7 +125,9 @@
 	}
 	if !c.joined() {
 		c.askSeeds()
-		c.listAgain(now)
+		c.listAgain(now, listWaitMax)
+	} else if keeper {
+		c.listAgain(now, listKeepMax) // nobody watches the rosters
 	}
 }
 
@@ -138,12 +142,12 @@
 
 // listAgain lists the rosters again for a daemon that knows nobody: those of
 // other sites may have been written since it started. It does so less and less
-// often, for it may be the only one there is.
-func (c *control) listAgain(now time.Time) {
+// often, at most every high, for it may be the only one there is.
+func (c *control) listAgain(now time.Time, high time.Duration) {
 	if !c.platformUp || now.Before(c.listAt) {
 		return
 	}
-	c.listWait = backoff(c.random, c.listWait, listWaitMin, listWaitMax)
+	c.listWait = backoff(c.random, c.listWait, listWaitMin, high)
 	c.listAt = now.Add(c.listWait)
 	c.start(func(x context.Context) {
 		l, err := c.d.store.List(x, controlPrefix)
@@ -193,7 +197,7 @@
 	s := c.table.Self()
 	k := c.table.Rank(s.Site, "watch", s.Name)
 	// A watch is only worth its call once the others of the site are known.
-	if c.watching || !c.mayAct(now) || !c.joined() && now.Before(c.aloneAt.Add(aloneTime)) || k < 0 || k >= watchers {
+	if c.d.managed() || c.watching || !c.mayAct(now) || !c.joined() && now.Before(c.aloneAt.Add(aloneTime)) || k < 0 || k >= watchers {
 		return
 	}
 	c.watching = true
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -12,49 +12,54 @@
 	"figwheel/store"
 )
 
-const (
-	configWaitMin = 50 * time.Millisecond
-	configWaitMax = time.Second
-)
+// configTime bounds one read of the configuration.
+const configTime = time.Second
 
-// followConfig follows the platform's configuration. Each daemon does so for
-// itself: the watch of another one may be late for reasons that do not show.
-// What it misses comes from the others, by gossip and with the calls.
-func (d *Daemon) followConfig(x context.Context) {
-	var w time.Duration
-	r := d.random()
-	for x.Err() == nil {
-		t := d.now()
-		err := d.watchConfig(x)
-		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
-		if d.now().Sub(t) > configWaitMax {
-			w = 0 // the watch lasted
-		}
-		w = backoff(r, w, configWaitMin, configWaitMax)
-		pause(x, w)
+// tendConfig reads the platform's configuration when it is this daemon's turn.
+func (c *control) tendConfig(now time.Time) {
+	if !c.d.managed() || c.polling {
+		return
+	}
+	s := c.table.Self()
+	if !c.poll.Due(now, c.table.Rank("", "config", s.Name), c.table.Count(), c.pollJitter) {
+		return
 	}
+	c.polling = true
+	c.pollJitter = c.random.Float64()
+	c.poll.Began(now)
+	c.start(func(x context.Context) {
+		err := c.d.readConfig(x)
+		_ = c.d.do(x, func(c *control) {
+			c.polling = false
+			c.platformAnswered(err)
+			c.poll.Ended(now, err == nil)
+			if err == nil {
+				c.configKnown = true
+				c.advance()
+			}
+		})
+	})
 }
 
-// watchConfig reads the configuration and follows its changes until the watch
-// breaks. It reads first, so that a watch that broke misses nothing.
-func (d *Daemon) watchConfig(x context.Context) error {
-	l, err := d.store.List(x, d.edge.ConfigKey)
+// readConfig reads the platform's configuration once.
+func (d *Daemon) readConfig(x context.Context) error {
+	y, stop := context.WithTimeout(x, configTime)
+	defer stop()
+	o, err := d.store.Get(y, d.edge.ConfigKey)
 	if err != nil {
 		return err
 	}
-	for _, o := range l.Objects {
-		d.configured(x, o)
-	}
-	_ = d.do(x, func(c *control) { c.configRead() })
-	return d.store.Watch(x, d.edge.ConfigKey, l.Revision, func(e store.Event) error {
-		d.configured(x, e.Object)
-		return x.Err()
-	})
+	return d.configured(x, o)
 }
 
 // configured takes in what the platform holds as configuration. One that
 // cannot be read never replaces one that could.
-func (d *Daemon) configured(x context.Context, o store.Object) {
+func (d *Daemon) configured(x context.Context, o store.Object) error {
+	known := false
+	_ = d.do(x, func(c *control) { known = o.Version == c.configVersion })
+	if known {
+		return nil
+	}
 	t, err := d.edge.DecodeConfig(o.Value)
 	var b []byte
 	if err == nil {
@@ -62,10 +67,11 @@
 	}
 	if err != nil {
 		d.event(x, event.ConfigUnreadable, slog.String("Key", o.Key), slog.String("Revision", o.Version), slog.String("Cause", err.Error()))
-		return
+		return err
 	}
 	h := site.Hash(b)
-	_ = d.do(x, func(c *control) {
+	return d.do(x, func(c *control) {
+		c.configVersion = o.Version
 		if c.contents[h] == nil {
 			c.contents[h] = &content{hash: h, data: b, config: t}
 		}
@@ -81,10 +87,27 @@
 	return change.Head{Sequence: number, InForce: change.Release{Number: number, Content: hash}}
 }
 
-// configRead notes that the platform told what is in force.
-func (c *control) configRead() {
-	c.configKnown = true
-	c.advance()
+// headAge returns the age of the newest confirmation of what is known here as
+// it is told others: milliseconds plus 1, 0 without one.
+func (c *control) headAge(now time.Time) uint32 {
+	a, ok := c.poll.Age(now)
+	if !ok || a > change.TrustTime {
+		return 0
+	}
+	return uint32(a.Milliseconds()) + 1
+}
+
+// confirmed takes in the age that another daemon told with the head h. It
+// says nothing here unless that is the head that is known here.
+func (c *control) confirmed(h change.Head, age uint32, now time.Time) {
+	if age > 0 && h.Sequence == c.known.Head.Sequence {
+		c.poll.Confirm(now.Add(-time.Duration(age-1) * time.Millisecond))
+	}
+}
+
+// errManaged refuses submissions where the configuration comes from elsewhere.
+func errManaged(key string) *result.Error {
+	return result.New(result.Managed, "the configuration is the platform's object %s; write it there", key)
 }
 
 // refuseManaged refuses what only an own configuration allows.
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -45,6 +45,7 @@
 
 	known change.Known
 
+	newsFrom  string    // address of the daemon whose news is being taken in
 	delivered uint64    // sequence of the newest head that a delivery brought
 	watchedAt time.Time // when the platform told of a head that others may not know
 
@@ -54,16 +55,21 @@
 
 	platformUp  bool // the control objects were read from the platform
 	configKnown bool // so was the configuration that others write
-	reachable   bool // the platform answered last time
-	answered    map[string]bool
-	rosters     map[string]store.Object
-	rosterAt    time.Time
-	aloneAt     time.Time // from when a daemon that knows nobody acts
-	joinAt      time.Time // when the rosters are gone through next
-	listAt      time.Time // when a daemon that knows nobody lists them next
-	listWait    time.Duration
-	watching    bool
-	finishing   map[string]bool
+
+	poll          change.Poll // of that configuration
+	polling       bool
+	pollJitter    float64
+	configVersion string // of its object when it was read last
+	reachable     bool   // the platform answered last time
+	answered      map[string]bool
+	rosters       map[string]store.Object
+	rosterAt      time.Time
+	aloneAt       time.Time // from when a daemon that knows nobody acts
+	joinAt        time.Time // when the rosters are gone through next
+	listAt        time.Time // when a daemon that knows nobody lists them next
+	listWait      time.Duration
+	watching      bool
+	finishing     map[string]bool
 
 	probed   time.Time
 	repairAt time.Time // before which no repair starts
@@ -113,9 +119,6 @@
 	var spread time.Time // when news was last spread
 	pending := false     // whether it is about to be
 	c.start(c.d.boot)
-	if c.d.managed() {
-		c.start(c.d.followConfig)
-	}
 	for x.Err() == nil {
 		select {
 		case <-x.Done():
@@ -170,6 +173,7 @@
 	c.advance()
 	c.passOn(now)
 	c.tendJoin(now)
+	c.tendConfig(now)
 	c.tendWatch(now)
 	c.tendRoster(now)
 	c.tendProposal(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"figwheel/caller"
 	"figwheel/event"
@@ -55,6 +57,7 @@
 	worker   upstream.Worker
 	view     atomic.Pointer[caller.View]
 	closing  atomic.Bool
+	notReady atomic.Int64 // times that somebody was told so
 	requests chan func(*control)
 	lost     chan upstream.Announcement // of a worker that takes no connections
 	stopped  chan struct{}
@@ -62,8 +65,13 @@
 	contents singleflight.Group
 	metrics  *metric.Set
 	draws    atomic.Uint64
+
+	callLines *rate.Limiter // of the log about calls that were answered
 }
 
+// callLinesRate is how many of those lines a second the settings leave open.
+const callLinesRate = 100
+
 // New opens the addresses of the settings and returns a daemon that Run
 // starts. An address of port 0 is replaced by the one it got.
 func New(o Options) (*Daemon, error) {
@@ -82,6 +90,8 @@
 		d.log = slog.New(slog.DiscardHandler)
 	}
 	d.log = d.log.With("Instance", o.Settings.Instance)
+	n := cmp.Or(o.Settings.LogRate, callLinesRate)
+	d.callLines = rate.NewLimiter(rate.Limit(n), n)
 	d.edge = ownEdge()
 	if o.Edge != nil {
 		d.edge = *o.Edge
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"figwheel/contract"
-	"figwheel/result"
 	"figwheel/site"
 	"figwheel/upstream"
 )
@@ -52,6 +51,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+d.edge.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if d.Closing() || d.View().Snapshot == nil {
+			d.notReady.Add(1)
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -75,8 +75,3 @@
 	}
 	c.workerLost(now, "unreachable")
 }
-
-// errManaged refuses submissions where the configuration comes from elsewhere.
-func errManaged(key string) *result.Error {
-	return result.New(result.Managed, "the configuration is the platform's object %s; write it there", key)
-}
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"figwheel/change"
 	"figwheel/event"
 	"figwheel/instance"
 	"figwheel/peer"
@@ -80,17 +81,32 @@
 // news that is drawn counts as handed out.
 func (c *control) requestWith(l []instance.Record) *peerpb.ExchangeRequest {
 	return &peerpb.ExchangeRequest{
-		From:   c.d.settings.Instance,
-		Digest: c.table.Digest(),
-		Full:   !c.joined(),
-		Head:   peer.FromHead(c.known.Head),
-		News:   peer.FromRecords(l),
+		From:      c.d.settings.Instance,
+		Digest:    c.table.Digest(),
+		Full:      !c.joined(),
+		Head:      peer.FromHead(c.known.Head),
+		HeadAgeMs: c.headAge(c.d.now()),
+		News:      peer.FromRecords(l),
 	}
 }
 
 // joined tells whether this daemon knows any other.
 func (c *control) joined() bool { return c.table.Count() > 1 }
 
+// told takes in the head that the daemon at the address told of.
+func (c *control) told(h change.Head, age uint32, address string) {
+	c.confirmed(h, age, c.d.now())
+	if h.Sequence <= c.known.Head.Sequence {
+		return
+	}
+	c.newsFrom = address
+	if c.observe(h) {
+		c.eager = true
+	}
+	c.confirmed(h, age, c.d.now())
+	c.newsFrom = ""
+}
+
 func (c *control) failed(name string, incarnation uint64) {
 	for range c.table.Failed(name, incarnation, c.d.now()) {
 		c.d.event(c.x, event.InstanceSuspected, slog.String("Name", name))
@@ -103,9 +119,7 @@
 	if name != "" {
 		c.answered[name] = true
 	}
-	if c.observe(peer.ToHead(p.GetHead())) {
-		c.eager = true
-	}
+	c.told(peer.ToHead(p.GetHead()), p.GetHeadAgeMs(), address)
 	if p.GetDigest() != c.table.Digest() {
 		c.repair(address)
 	}
@@ -182,10 +196,12 @@
 
 func (c *control) answer(q *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	c.absorb(peer.ToRecords(q.GetNews()))
-	if c.observe(peer.ToHead(q.GetHead())) {
-		c.eager = true
+	var from string
+	if r, _, ok := c.table.Get(q.GetFrom()); ok {
+		from = r.PeerAddress
 	}
-	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.known.Head)}
+	c.told(peer.ToHead(q.GetHead()), q.GetHeadAgeMs(), from)
+	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.known.Head), HeadAgeMs: c.headAge(c.d.now())}
 	if q.GetFull() {
 		p.News = peer.FromRecords(c.table.All())
 		return p
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -15,11 +15,10 @@
 )
 
 const (
-	fetchTime   = 10 * time.Second      // bounds how long a content is looked for
-	wantTime    = time.Second           // within which a delivery brings it
-	watchedTime = 50 * time.Millisecond // within which an own watch brings it
-	fetchPeers  = 2                     // asked in each round
-	fetchRounds = 3                     // before the platform is asked
+	fetchTime   = 10 * time.Second // bounds how long a content is looked for
+	wantTime    = time.Second      // within which a delivery brings it
+	fetchPeers  = 2                // asked in each round
+	fetchRounds = 3                // before the platform is asked
 	fetchWait   = 100 * time.Millisecond
 )
 
@@ -116,19 +115,17 @@
 	}
 	c.fetching[hash] = true
 	var w time.Duration
-	switch {
-	case later && c.d.managed():
-		w = watchedTime + time.Duration(c.random.Int64N(int64(watchedTime)))
-	case later:
+	if later && !c.d.managed() {
 		w = wantTime + time.Duration(c.random.Int64N(int64(wantTime)))
 	}
+	from := c.newsFrom
 	c.start(func(x context.Context) {
 		needed := false
 		if pause(x, w) {
 			_ = c.d.do(x, func(c *control) { needed = c.known.Needs(hash, c.serving.Number()) })
 		}
 		if needed {
-			_, _ = c.d.content(x, hash, "", nil)
+			_, _ = c.d.content(x, hash, from, nil)
 		}
 		_ = c.d.do(x, func(c *control) { delete(c.fetching, hash) })
 	})
@@ -160,6 +157,9 @@
 
 func (d *Daemon) fetch(x context.Context, hash, from string) (*content, error) {
 	b, ok := d.fromPeers(x, hash, from)
+	if !ok && d.managed() {
+		return nil, result.New(result.ContentMissing, "no peer has content %s; the next read of the platform brings it or a newer one", hash)
+	}
 	if !ok {
 		p, err := store.GetContent(x, d.store, hash)
 		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -31,6 +31,8 @@
 	newsTime       = 300 * time.Millisecond // for others to hear that this instance leaves
 	drainPoll      = 10 * time.Millisecond
 	leftTime       = time.Second
+	asksToLeave    = 2                       // answers that this daemon is not ready, after which no callers come
+	askedTime      = 2500 * time.Millisecond // within which they are asked for, once a second
 )
 
 // listeners are the addresses of a daemon, one for each kind of peer.
@@ -173,6 +175,8 @@
 	i := event.Answered
 	if v.Code != 0 {
 		i = event.Failed
+	} else if !r.d.callLines.AllowN(r.d.now(), 1) {
+		return
 	}
 	r.d.event(context.Background(), i,
 		slog.String("RequestID", v.RequestID),
@@ -231,8 +235,13 @@
 		c.draining = true
 		c.describe(c.d.now())
 	})
+	told := d.notReady.Load()
 	d.closing.Store(true)
 	pause(x, newsTime)
+	// Whoever sends callers here goes by what it is told when it asks.
+	for end := d.now().Add(askedTime); d.listeners.ready != nil && d.notReady.Load() < told+asksToLeave && d.now().Before(end) && pause(x, drainPoll); {
+		continue
+	}
 	for d.worker.InFlight() > 0 && pause(x, drainPoll) {
 		continue
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -16,6 +16,9 @@
 	Ready
 	Draining
 	Ended
+	Reloaded
+	LinesDropped
+	SettingsRefused
 )
 
 // Events of changes.
@@ -74,6 +77,9 @@
 	{Ready, "Ready", slog.LevelInfo, "The daemon has a configuration and takes calls."},
 	{Draining, "Draining", slog.LevelInfo, "The daemon is leaving: no new work, requests in flight finish."},
 	{Ended, "Ended", slog.LevelInfo, "The daemon has ended."},
+	{Reloaded, "Reloaded", slog.LevelInfo, "The settings file has changed; what can change while running does."},
+	{LinesDropped, "LinesDropped", slog.LevelWarn, "Lines of the log came faster than they could be written."},
+	{SettingsRefused, "SettingsRefused", slog.LevelWarn, "The changed settings are wrong; the old ones stay."},
 	{Proposed, "Proposed", slog.LevelInfo, "A change was proposed and is being staged."},
 	{Staged, "Staged", slog.LevelInfo, "This instance compiled a proposed configuration."},
 	{Refused, "Refused", slog.LevelWarn, "A proposed change was refused; nothing changed."},
@@ -98,7 +104,7 @@
 	{WatchEnded, "WatchEnded", slog.LevelDebug, "The watch of the platform ended."},
 	{AuditFailed, "AuditFailed", slog.LevelWarn, "An audit record could not be written."},
 	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; what is in force stays served."},
-	{Answered, "Answered", slog.LevelDebug, "A call got the worker's answer."},
+	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer of a worker; code, outcome and text say why."},
 }
 
--- a/link/choose.go
+++ b/link/choose.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// farCost is what another site costs a request: so much longer may it take
-	// at a near instance before a far one is chosen. Bytes between data centres
-	// have a price, and the way there and back takes some of it.
-	farCost = 20 * time.Millisecond
+	// FarCost is what another site costs a request of which nothing is known: so
+	// much longer may it take at a near instance before a far one is chosen.
+	FarCost = 20 * time.Millisecond
 	// holdFirst is taken for the time at an instance that is not known yet.
 	holdFirst = 50 * time.Millisecond
 	// avoidedCost is what an instance costs that failed lately.
@@ -33,8 +32,8 @@
 func (c *Candidate) Free(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
 
 // cost is how long a request would take there: the wait for a slot, the work,
-// and what the way costs.
-func (c *Candidate) cost(now time.Time) time.Duration {
+// and what the way costs, which is far for another site.
+func (c *Candidate) cost(now time.Time, far time.Duration) time.Duration {
 	h := c.Peer.Hold()
 	if h == 0 {
 		h = holdFirst
@@ -48,7 +47,7 @@
 	// Of two that have free slots the emptier one is the safer guess.
 	d += time.Duration(int64(h) * min(load, slots) / slots / 4)
 	if !c.SameSite && !c.Local {
-		d += farCost
+		d += far
 	}
 	if c.Peer.Avoided(now) {
 		d += avoidedCost
@@ -66,11 +65,12 @@
 func (c Candidates) Len() int { return len(c.all) }
 
 // Choose returns the candidate for the next attempt at now, or nil. Candidates
-// named in tried are left out. It answers a load that is uneven over sites and
+// named in tried are left out. Another site counts as so much longer as far
+// says: bytes between data centres have a price. It answers a load that is uneven over sites and
 // instances of unequal speed: the candidate with the least expected time wins,
 // of all when they are few, otherwise of some picked at random, so that many
 // daemons with the same news do not all choose the same one.
-func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string) *Candidate {
+func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string, far time.Duration) *Candidate {
 	n := len(c.all)
 	if n == 0 {
 		return nil
@@ -84,7 +84,7 @@
 		if slices.Contains(tried, k.Name) {
 			continue
 		}
-		if d := k.cost(now); best == nil || d < least {
+		if d := k.cost(now, far); best == nil || d < least {
 			best, least = k, d
 		}
 		if seen++; seen == compared {
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -50,7 +50,7 @@
 			l := link.NewCandidates(c.all)
 			hit := make(map[string]bool)
 			for range 1000 {
-				if k := l.Choose(now, r, c.tried); k != nil {
+				if k := l.Choose(now, r, c.tried, link.FarCost); k != nil {
 					hit[k.Name] = true
 				}
 			}
@@ -75,7 +75,7 @@
 	c := link.NewCandidates(l)
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		c.Choose(now, r, nil).Peer.Begin()
+		c.Choose(now, r, nil, link.FarCost).Peer.Begin()
 	}
 	for _, k := range l {
 		if n := k.Peer.Load(now); n < 45 || n > 55 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,9 @@
 
 	WorkerLapse Duration `yaml:"WorkerLapse"` // after which a worker that says nothing is taken for lost
 
+	CollectorPercent int `yaml:"CollectorPercent"` // heap growth at which garbage is collected; 0 is 400
+	LogRate          int `yaml:"LogRate"`          // lines a second about calls that were answered; 0 is 100
+
 	RetryPercent int `yaml:"RetryPercent"` // of the requests of a service may be sent again, where it does not say itself
 	RetryBurst   int `yaml:"RetryBurst"`   // retries of a service that all daemons together may send at once
 }
