--- a/caller/decision.go
+++ b/caller/decision.go
@@ -17,7 +17,7 @@
 	Version   string   // of the configuration that it went by
 	Asked     []string // instances, the last ones if some were asked twice
 	Sent      int      // workers that it may have reached before the last
-	Budget    bool
+	Rank      int
 	Code      result.Code
 	Outcome   contract.Outcome
 	Status    int // of the worker's answer, 0 without one
@@ -43,7 +43,7 @@
 		Took:      now.Sub(began),
 	}
 	if c.route != nil {
-		d.Route, d.Service = c.route.Name, c.service.Name
+		d.Route, d.Service, d.Rank = c.route.Name, c.service.Name, c.route.Rank
 	}
 	if !c.deadline.IsZero() {
 		d.Left = c.deadline.Sub(now)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -25,6 +25,9 @@
 	// asksNoWait is how many daemons are asked for a free slot before the
 	// request waits at one of them.
 	asksNoWait = 3
+	// waitsMax is how many daemons may refuse to let it wait: the others are
+	// fuller, and each ask costs both sides time that an overload needs.
+	waitsMax = 2
 	// verdictTime is how much longer than the deadline the next daemon is
 	// waited for: its word that the request was not run is worth having.
 	verdictTime = 60 * time.Millisecond
@@ -151,7 +154,7 @@
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
 	c.deadline = d
-	c.ask = upstream.Ask{Rank: c.route.Rank, Deadline: d}
+	c.ask = upstream.Ask{Kind: c.route.Name, Rank: c.route.Rank, Deadline: d}
 	if c.route.Goal > 0 {
 		c.ask.Goal = now.Add(c.route.Goal)
 	}
@@ -166,6 +169,7 @@
 		{Name: contract.ReleaseHeader, Value: c.view.release},
 		{Name: contract.ServiceHeader, Value: c.service.Name},
 		{Name: contract.RankHeader, Value: strconv.Itoa(c.ask.Rank)},
+		{Name: contract.KindHeader, Value: c.ask.Kind},
 		{Name: contract.OriginHeader, Value: h.Origin},
 	}
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
@@ -191,7 +195,7 @@
 	f := hop.NotRun(result.NoInstance, "no ready instance of "+c.service.Name)
 	b := h.budget(c.service.Name)
 	b.Earn(h.retries(c))
-	wait := false
+	wait, waits := false, 0
 	for i := range asksMax {
 		now := h.Now()
 		k := l.Choose(now, c.random, c.tried, c.far())
@@ -205,9 +209,12 @@
 			return f
 		}
 		wait = wait || i >= asksNoWait || !k.Free(now)
+		if wait {
+			waits++
+		}
 		c.tried = append(c.tried, k.Name)
 		f = c.after(h.attempt(x, w, r, c, k, !wait))
-		if f.OK() || f.Begun || x.Err() != nil || !h.another(c, f, b, l) {
+		if f.OK() || f.Begun || x.Err() != nil || !h.another(c, f, b, l) || f.Code == result.Overloaded && waits >= waitsMax {
 			return f
 		}
 	}
--- a/caller/link.go
+++ b/caller/link.go
@@ -63,7 +63,7 @@
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
 	q := upstream.Request{
-		Ask:     upstream.Ask{Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
+		Ask:     upstream.Ask{Kind: r.Header.Get(contract.KindHeader), Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
 		Service: r.Header.Get(contract.ServiceHeader),
 		Origin:  r.Header.Get(contract.OriginHeader),
 		Body:    b,
--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
 	"log"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -41,6 +44,9 @@
 	p := c.Flag("settings", "The settings file; docs/OPERATIONS.md has every field.").Envar("FIGWHEEL_CONFIG").Required().String()
 	k := c.Flag("check", "Check the settings and stop.").Bool()
 	return command{c.FullCommand(), func(x context.Context, _ io.Writer) error {
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP) // by default it ends the process
+		defer signal.Stop(hup)
 		s, err := settings.Load(*p, os.Environ())
 		if err != nil || *k {
 			return err
@@ -68,7 +74,15 @@
 		if err != nil {
 			return err
 		}
-		return d.Run(x)
+		reloaded := make(chan struct{})
+		go func() {
+			defer close(reloaded)
+			reload(z, d, *p, hup, l)
+		}()
+		err = d.Run(x)
+		stop()
+		<-reloaded
+		return err
 	}}
 }
 
@@ -87,3 +101,39 @@
 		DecodeConfig: platform.DecodeConfig,
 	}
 }
+
+// reloadTime is how often the settings file is read: it may change without a
+// signal.
+const reloadTime = 2 * time.Second
+
+// reload follows the settings file until x ends. Settings that are wrong change
+// nothing.
+func reload(x context.Context, d *daemon.Daemon, path string, hup <-chan os.Signal, l *slog.Logger) {
+	t := time.NewTicker(reloadTime)
+	defer t.Stop()
+	last, err := os.ReadFile(path)
+	for {
+		asked := false
+		select {
+		case <-x.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-t.C:
+		}
+		var b []byte
+		if b, err = os.ReadFile(path); err == nil && bytes.Equal(b, last) && !asked {
+			continue
+		}
+		var s settings.Settings
+		if err == nil {
+			last = b
+			s, err = settings.Parse(b, os.Environ())
+		}
+		if err != nil {
+			event.Log(x, l, event.SettingsRefused, slog.String("Path", path), slog.String("Cause", err.Error()))
+			continue
+		}
+		d.Reload(x, s)
+	}
+}
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -53,6 +53,7 @@
 	QueueHeader   = "Figwheel-Queue" // no, if another daemon may have a free slot
 	RankHeader    = "Figwheel-Rank"
 	GoalHeader    = "Figwheel-Goal-Ms" // time left in which an answer is worth most
+	KindHeader    = "Figwheel-Kind"    // of requests that take about the same time: the route
 	OriginHeader  = "Figwheel-Origin"
 
 	HeaderPrefix = "Figwheel-"
--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -133,7 +133,7 @@
 
 // askSeeds gets in touch with the seeds of the settings.
 func (c *control) askSeeds() {
-	for _, a := range c.d.settings.Seeds {
+	for _, a := range c.settings.Seeds {
 		if a != c.d.settings.PeerAddress {
 			c.exchange("", a, 0)
 		}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -35,6 +35,7 @@
 	x      context.Context // of the tasks that it starts
 	random *rand.Rand
 
+	settings     settings.Settings // as they were reloaded last
 	table        *instance.Table
 	links        map[string]*link.Peer
 	announcement upstream.Announcement
@@ -85,9 +86,10 @@
 	n := d.now()
 	s := d.settings
 	return &control{
-		d:      d,
-		x:      x,
-		random: d.random(),
+		d:        d,
+		settings: s,
+		x:        x,
+		random:   d.random(),
 		table: instance.New(instance.Record{
 			Name:        s.Instance,
 			Incarnation: uint64(n.UnixMilli()),
@@ -195,7 +197,7 @@
 
 // lapse forgets a worker that stopped announcing itself and answers nothing.
 func (c *control) lapse(now time.Time) {
-	t := cmp.Or(time.Duration(c.d.settings.WorkerLapse), upstream.LapseTime)
+	t := cmp.Or(time.Duration(c.settings.WorkerLapse), upstream.LapseTime)
 	if c.announcement.Service == "" || now.Sub(c.announced) < t || now.Sub(c.d.worker.Answered()) < t {
 		return
 	}
@@ -294,7 +296,7 @@
 		m[n] = link.NewCandidates(v)
 	}
 	v := caller.NewView(c.serving, m)
-	v.Retries = contract.Retries{Percent: cmp.Or(c.d.settings.RetryPercent, settings.RetryPercentDefault), Burst: c.retryBurst()}
+	v.Retries = contract.Retries{Percent: cmp.Or(c.settings.RetryPercent, settings.RetryPercentDefault), Burst: c.retryBurst()}
 	c.d.view.Store(v)
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -302,7 +304,7 @@
 
 // retryBurst is this daemon's part of what all daemons may retry at once.
 func (c *control) retryBurst() int {
-	if b := c.d.settings.RetryBurst; b > 0 {
+	if b := c.settings.RetryBurst; b > 0 {
 		return max(1, b/max(1, c.table.Count()))
 	}
 	return settings.RetryBurstAlone
--- /dev/null
+++ b/daemon/reload.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+
+	"golang.org/x/time/rate"
+
+	"figwheel/event"
+	"figwheel/settings"
+)
+
+// Reload takes over those of the settings s that can change while the daemon
+// runs: Seeds, WorkerLapse, the retry settings and LogRate. The rest counts from
+// the next start; the event that it logs names what is different.
+func (d *Daemon) Reload(x context.Context, s settings.Settings) {
+	d.callLines.SetLimit(rate.Limit(cmp.Or(s.LogRate, callLinesRate)))
+	_ = d.do(x, func(c *control) {
+		later := c.settings.Restart(s)
+		c.settings = c.settings.WithReload(s)
+		c.dirty = true
+		d.event(x, event.Reloaded, slog.Any("CountFromTheNextStart", later))
+	})
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -182,6 +182,7 @@
 		slog.String("RequestID", v.RequestID),
 		slog.String("Route", v.Route),
 		slog.String("Service", v.Service),
+		slog.Int("Rank", v.Rank),
 		slog.String("Version", v.Version),
 		slog.Any("Asked", v.Asked),
 		slog.Int("Sent", v.Sent),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/url"
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 	"time"
@@ -162,6 +163,30 @@
 	return s
 }
 
+// WithReload returns the settings with those of n that can change while a daemon
+// runs.
+func (s Settings) WithReload(n Settings) Settings {
+	s.Seeds = n.Seeds
+	s.WorkerLapse = n.WorkerLapse
+	s.RetryPercent = n.RetryPercent
+	s.RetryBurst = n.RetryBurst
+	s.LogRate = n.LogRate
+	return s
+}
+
+// Restart returns the names of the settings in which n differs and that only
+// count from the next start.
+func (s Settings) Restart(n Settings) []string {
+	var r []string
+	a, b := reflect.ValueOf(s.WithReload(n)), reflect.ValueOf(n)
+	for i := range a.NumField() {
+		if !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			r = append(r, a.Type().Field(i).Name)
+		}
+	}
+	return r
+}
+
 // Level returns the level of the log.
 func (s Settings) Level() slog.Level {
 	var l slog.Level
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -56,7 +56,12 @@
 		return a, nil
 	}
 	if a.ID != h.last.ID {
-		if slices.Contains(h.gone, a.ID) || a.Born > 0 && a.Born < h.last.Born || a.State == leftState {
+		if a.State != readyState && h.last.ID != "" {
+			// One that is no longer here leaves: it gets nothing already.
+			h.forget(a.ID)
+			return h.last, nil
+		}
+		if slices.Contains(h.gone, a.ID) || a.Born > 0 && a.Born < h.last.Born {
 			return a, result.New(result.OldAnnouncement, "worker %s was replaced by %s", a.ID, h.last.ID)
 		}
 		h.forget(h.last.ID)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -17,13 +17,16 @@
 	holdWeight = 0.05
 	// holdFirst is taken for that mean until the first request has ended.
 	holdFirst = 50 * time.Millisecond
-	// enough is the part of the mean that a request needs to have left when it
-	// gets a slot; with less it would take a slot and fail.
-	enough = 0.4
+	// kindsMax bounds the kinds of requests whose means are kept.
+	kindsMax = 256
+	// enough is the part of its mean that a request needs to have left before
+	// its deadline when it gets a slot; with less it would take one and fail.
+	enough = 0.5
 )
 
 // Ask is what a request says when it wants a slot of the worker.
 type Ask struct {
+	Kind     string    // requests of one kind take about the same time
 	Rank     int       // 0 goes first
 	Goal     time.Time // until when an answer is worth most; zero for always
 	Deadline time.Time // until when it is worth anything; zero for always
@@ -31,11 +34,12 @@
 }
 
 // Gate lets as many requests to the worker as it has slots. It answers loads
-// above that: who waits is let in by rank; within a rank those go first that
-// can still reach their goal, in the order of arrival, so that an overload
-// costs the goals of some and not of all; and who would wait too long to be
-// served is refused at once, while it can still be served elsewhere. The zero
-// value lets nothing in.
+// above that. The waiting are let in by rank; within a rank the one whose goal
+// is next goes first, as long as it can still reach it: short requests with
+// close goals then pass long ones that have time. Who would not reach its goal
+// is refused at once, before it has waited: an overload then costs some
+// requests and not the goals of all, and the refused can still be served
+// elsewhere or later. The zero value lets nothing in.
 type Gate struct {
 	mu      sync.Mutex
 	slots   int
@@ -43,10 +47,12 @@
 	taken   int
 	waiting []*waiter // in the order of arrival
 	hold    time.Duration
+	kinds   map[string]time.Duration // mean time by kind
 }
 
 type waiter struct {
 	Ask
+	work     time.Duration    // that it is expected to take
 	admitted chan result.Code // 0 for a slot; has room for one
 }
 
@@ -60,37 +66,41 @@
 }
 
 // mean returns the mean time that a request holds a slot.
-func (g *Gate) mean() time.Duration {
-	if g.hold == 0 {
-		return holdFirst
-	}
-	return g.hold
-}
+func (g *Gate) mean() time.Duration { return cmp.Or(g.hold, holdFirst) }
+
+// work returns the mean time that a request of the kind holds a slot.
+func (g *Gate) work(kind string) time.Duration { return cmp.Or(g.kinds[kind], g.mean()) }
 
-// wait returns how long a request of the rank would wait for a slot.
-func (g *Gate) wait(rank int) time.Duration {
-	if g.slots <= 0 || g.taken < g.slots && len(g.waiting) == 0 {
+// wait returns how long w would wait for a slot: for the first of those that
+// are taken, and for the work of those that go first.
+func (g *Gate) wait(w *waiter, now time.Time) time.Duration {
+	if g.slots <= 0 {
 		return 0
 	}
-	n := g.taken - g.slots + 1
-	for _, w := range g.waiting {
-		if w.Rank <= rank {
-			n++
+	d := g.mean()
+	for _, o := range g.waiting {
+		if g.compare(o, w, now) <= 0 {
+			d += o.work
 		}
 	}
-	return g.mean() * time.Duration(max(0, n)) / time.Duration(g.slots)
+	return d / time.Duration(g.slots)
+}
+
+// reaches tells whether w reaches its goal when it gets a slot at t.
+func (w *waiter) reaches(t time.Time) bool {
+	return w.Goal.IsZero() || !t.Add(w.work).After(w.Goal)
 }
 
-// late tells whether a request that gets a slot at t misses the time d.
-func (g *Gate) late(t, d time.Time, share float64) bool {
-	return !d.IsZero() && t.Add(time.Duration(float64(g.mean())*share)).After(d)
+// hopeless tells whether a slot at t is of no use to w any more.
+func (w *waiter) hopeless(t time.Time) bool {
+	return !w.Deadline.IsZero() && t.Add(time.Duration(float64(w.work)*enough)).After(w.Deadline)
 }
 
 // admit gives free slots to the waiting, and ends the wait of those that a
 // slot would no longer help.
 func (g *Gate) admit(now time.Time) {
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
-		if !g.late(now, w.Deadline, enough) {
+		if !w.hopeless(now) {
 			return false
 		}
 		w.admitted <- result.Overloaded
@@ -98,26 +108,32 @@
 	})
 	for g.taken < g.slots && len(g.waiting) > 0 {
 		w := slices.MinFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
-		g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
+		g.remove(w)
 		g.taken++
 		w.admitted <- 0
 	}
 }
 
-// compare orders the waiting at the time now. The sort is stable in effect:
-// the first of equals is the one that came first.
-func (g *Gate) compare(a, b *waiter, now time.Time) int {
-	return cmp.Or(
-		cmp.Compare(a.Rank, b.Rank),
-		cmp.Compare(lateness(g, a, now), lateness(g, b, now)),
-	)
+func (g *Gate) remove(w *waiter) {
+	g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
 }
 
-func lateness(g *Gate, w *waiter, now time.Time) int {
-	if g.late(now, w.Goal, 1) {
+// compare orders the waiting at the time now: by rank, then those that reach
+// their goals, then by goal. Of equals the one that came first stands first.
+func (g *Gate) compare(a, b *waiter, now time.Time) int {
+	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+		return c
+	}
+	switch la, lb := a.reaches(now), b.reaches(now); {
+	case la && !lb:
+		return -1
+	case lb && !la:
 		return 1
 	}
-	return 0
+	if a.Goal.IsZero() || b.Goal.IsZero() {
+		return 0
+	}
+	return a.Goal.Compare(b.Goal)
 }
 
 // Enter takes a slot, waiting for one until the context ends. The error is
@@ -129,11 +145,11 @@
 		g.mu.Unlock()
 		return 0
 	}
-	if q.NoWait || len(g.waiting) >= g.queue || g.late(now.Add(g.wait(q.Rank)), q.Deadline, enough) {
+	w := &waiter{Ask: q, work: g.work(q.Kind), admitted: make(chan result.Code, 1)}
+	if q.NoWait || len(g.waiting) >= g.queue || g.refuses(w, now) {
 		g.mu.Unlock()
 		return result.Overloaded
 	}
-	w := &waiter{Ask: q, admitted: make(chan result.Code, 1)}
 	g.waiting = append(g.waiting, w)
 	g.mu.Unlock()
 	select {
@@ -144,6 +160,16 @@
 	return g.giveUp(x, w, now)
 }
 
+// refuses tells whether w would wait too long: until it misses its goal, or
+// where it can't reach that even in an empty queue, its deadline.
+func (g *Gate) refuses(w *waiter, now time.Time) bool {
+	t := now.Add(g.wait(w, now))
+	if w.hopeless(t) {
+		return true
+	}
+	return w.reaches(now) && !w.reaches(t)
+}
+
 // giveUp leaves the queue, or the slot if it was granted at the same moment.
 func (g *Gate) giveUp(x context.Context, w *waiter, now time.Time) result.Code {
 	g.mu.Lock()
@@ -155,7 +181,7 @@
 			g.admit(now)
 		}
 	default:
-		g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
+		g.remove(w)
 	}
 	if errors.Is(x.Err(), context.DeadlineExceeded) {
 		return result.DeadlineExceeded
@@ -163,18 +189,29 @@
 	return result.CallerGone
 }
 
-// Leave gives a slot back that was held for the time held.
-func (g *Gate) Leave(now time.Time, held time.Duration) {
+// Leave gives a slot back that a request of the kind held for the time held.
+func (g *Gate) Leave(now time.Time, kind string, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.hold == 0 {
-		g.hold = held
+	g.hold = moved(g.hold, held)
+	if _, ok := g.kinds[kind]; ok || len(g.kinds) < kindsMax {
+		if g.kinds == nil {
+			g.kinds = make(map[string]time.Duration)
+		}
+		g.kinds[kind] = moved(g.kinds[kind], held)
 	}
-	g.hold += time.Duration(holdWeight * float64(held-g.hold))
 	g.taken--
 	g.admit(now)
 }
 
+// moved returns the mean m after one more value.
+func moved(m, v time.Duration) time.Duration {
+	if m == 0 {
+		return v
+	}
+	return m + time.Duration(holdWeight*float64(v-m))
+}
+
 // InFlight returns the requests inside and in the queue.
 func (g *Gate) InFlight() int {
 	g.mu.Lock()
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -143,7 +143,7 @@
 	began := q.Now()
 	defer func() {
 		t := q.Now()
-		k.gate.Leave(t, t.Sub(began))
+		k.gate.Leave(t, q.Kind, t.Sub(began))
 	}()
 	// The worker may have left, or another one come, while the request waited.
 	if s = k.state.Load(); s.Service != q.Service || !s.takes(began) {
