Gate: a margin to the goal, a crowded queue sends late ones away; choice tries the unknown

The queue was let grow until the mean wait just reached the goal, so that half of it missed; who had missed stayed behind those who had not until its deadline.

--- a/caller/decision.go
+++ b/caller/decision.go
@@ -23,6 +23,7 @@
 	Status    int // of the worker's answer, 0 without one
 	Text      string
 	Took      time.Duration
+	Limit     string        // that the caller set, in milliseconds
 	Left      time.Duration // until the deadline when it ended
 }
 
@@ -34,6 +35,7 @@
 	d := Decision{
 		RequestID: r.Header.Get(h.Headers.RequestID),
 		Version:   c.view.Version(),
+		Limit:     r.Header.Get(h.Headers.Deadline),
 		Asked:     c.tried,
 		Sent:      c.sent,
 		Code:      f.Code,
@@ -52,20 +54,19 @@
 	h.Record.Decision(d)
 }
 
-// retryAfter returns when a refused caller should come back: when there may be
-// room, spread so that those who were refused together do not return together.
+// retryAfter returns when a refused caller should come back: when each slot of
+// the service has been passed on about once, spread so that those who were
+// refused together do not return together.
 func (h *Handler) retryAfter(c *call, f hop.Result) time.Duration {
 	if f.Outcome != contract.NotRun {
 		return 0
 	}
 	low := retryAfterMin
 	if f.Code == result.Overloaded {
-		low = retryAfterBusy
+		low = max(low, c.view.Candidates[c.service.Name].Hold(h.Now())/2)
 	}
 	return low + time.Duration(c.random.Int64N(int64(low)))
 }
 
-const (
-	retryAfterMin  = 100 * time.Millisecond // a new instance, or news of one
-	retryAfterBusy = 200 * time.Millisecond // some requests to end
-)
+// retryAfterMin is how long news of another instance may take to come.
+const retryAfterMin = 50 * time.Millisecond
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -191,6 +191,7 @@
 		slog.Int("Status", v.Status),
 		slog.String("Text", v.Text),
 		slog.Duration("Took", v.Took),
+		slog.String("LimitMs", v.Limit),
 		slog.Duration("Left", v.Left),
 	)
 }
--- a/link/choose.go
+++ b/link/choose.go
@@ -10,8 +10,11 @@
 	// FarCost is what another site costs a request of which nothing is known: so
 	// much longer may it take at a near instance before a far one is chosen.
 	FarCost = 20 * time.Millisecond
-	// holdFirst is taken for the time at an instance that is not known yet.
+	// holdFirst is taken for the time at an instance when that of none is known.
 	holdFirst = 50 * time.Millisecond
+	// hope is the part of the mean time of the others that is taken for the time
+	// at an instance of which it is not known, so that it is tried.
+	hope = 0.8
 	// avoidedCost is what an instance costs that failed lately.
 	avoidedCost = 10 * time.Second
 	// compared is how many candidates a choice compares at most.
@@ -32,11 +35,12 @@
 func (c *Candidate) Free(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
 
 // cost is how long a request would take there: the wait for a slot, the work,
-// and what the way costs, which is far for another site.
-func (c *Candidate) cost(now time.Time, far time.Duration) time.Duration {
-	h := c.Peer.Hold()
+// and what the way costs, which is far for another site. The time mean is taken
+// for the work where that is not known.
+func (c *Candidate) cost(now time.Time, mean, far time.Duration) time.Duration {
+	h := c.Peer.Hold(now)
 	if h == 0 {
-		h = holdFirst
+		h = mean
 	}
 	slots := max(1, c.Slots)
 	load := c.Peer.Load(now)
@@ -64,6 +68,25 @@
 // Len returns how many candidates there are.
 func (c Candidates) Len() int { return len(c.all) }
 
+// Hold returns the mean time that a request takes at the instances of which
+// that is known, 0 if there are none.
+func (c Candidates) Hold(now time.Time) time.Duration {
+	var sum time.Duration
+	n := 0
+	for i := range c.all {
+		if h := c.all[i].Peer.Hold(now); h > 0 {
+			sum += h
+			if n++; n == compared {
+				break
+			}
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
 // Choose returns the candidate for the next attempt at now, or nil. Candidates
 // named in tried are left out. Another site counts as so much longer as far
 // says: bytes between data centres have a price. It answers a load that is uneven over sites and
@@ -78,13 +101,17 @@
 	var best *Candidate
 	var least time.Duration
 	first := r.IntN(n)
+	mean := holdFirst
+	if h := c.Hold(now); h > 0 {
+		mean = time.Duration(hope * float64(h))
+	}
 	seen := 0
 	for i := range n {
 		k := &c.all[(first+i)%n]
 		if slices.Contains(tried, k.Name) {
 			continue
 		}
-		if d := k.cost(now, far); best == nil || d < least {
+		if d := k.cost(now, mean, far); best == nil || d < least {
 			best, least = k, d
 		}
 		if seen++; seen == compared {
--- a/link/peer.go
+++ b/link/peer.go
@@ -12,6 +12,10 @@
 // take some hundred milliseconds: after that little of it is still there.
 const trustTime = 500 * time.Millisecond
 
+// holdTime is how long the time counts that a request takes at an instance. One
+// that was slow, as after its start, has to be tried again to be known better.
+const holdTime = 2 * time.Second
+
 // Load is what an instance says of the load of its worker.
 type Load struct {
 	InFlight int           // at the worker and waiting for it
@@ -87,8 +91,13 @@
 }
 
 // Hold returns the mean time that a request takes at the instance, 0 if that
-// is not known.
-func (p *Peer) Hold() time.Duration { return time.Duration(p.hold.Load()) }
+// was not heard lately.
+func (p *Peer) Hold(now time.Time) time.Duration {
+	if now.UnixNano()-p.reported.Load() > int64(holdTime) {
+		return 0
+	}
+	return time.Duration(p.hold.Load())
+}
 
 // Avoid keeps requests away until the time t unless there is no other
 // instance.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -22,6 +22,15 @@
 	// enough is the part of its mean that a request needs to have left before
 	// its deadline when it gets a slot; with less it would take one and fail.
 	enough = 0.5
+	// goalShare is the part of the time to its goal that a request may be
+	// expected to take when it starts to wait. Times vary about their means, and
+	// a queue that just reaches the goals on average misses half of them, while
+	// a shorter one keeps the slots as busy.
+	goalShare = 0.7
+	// crowd is how many of the waiting that reach their goals, for each slot, it
+	// takes for those that no longer do to be sent away.
+	crowd    = 0.5
+	crowdMin = 2 // of them at least
 )
 
 // Ask is what a request says when it wants a slot of the worker.
@@ -96,11 +105,24 @@
 	return !w.Deadline.IsZero() && t.Add(time.Duration(float64(w.work)*enough)).After(w.Deadline)
 }
 
+// crowded tells whether so many wait that reach their goals that the others
+// will not get a slot in time.
+func (g *Gate) crowded(now time.Time) bool {
+	n := 0
+	for _, w := range g.waiting {
+		if w.reaches(now) {
+			n++
+		}
+	}
+	return float64(n) >= max(crowdMin, crowd*float64(g.slots))
+}
+
 // admit gives free slots to the waiting, and ends the wait of those that a
-// slot would no longer help.
+// slot would no longer help, or that will not get one.
 func (g *Gate) admit(now time.Time) {
+	full := g.crowded(now)
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
-		if !w.hopeless(now) {
+		if !w.hopeless(now) && (!full || w.reaches(now)) {
 			return false
 		}
 		w.admitted <- result.Overloaded
@@ -163,11 +185,14 @@
 // refuses tells whether w would wait too long: until it misses its goal, or
 // where it can't reach that even in an empty queue, its deadline.
 func (g *Gate) refuses(w *waiter, now time.Time) bool {
-	t := now.Add(g.wait(w, now))
-	if w.hopeless(t) {
+	wait := g.wait(w, now)
+	if w.hopeless(now.Add(wait)) {
 		return true
 	}
-	return w.reaches(now) && !w.reaches(t)
+	if !w.reaches(now) {
+		return g.crowded(now)
+	}
+	return !w.Goal.IsZero() && float64(wait+w.work) > goalShare*float64(w.Goal.Sub(now)) && wait > 0
 }
 
 // giveUp leaves the queue, or the slot if it was granted at the same moment.
