--- a/cmd/figwheel/main_test.go
+++ b/cmd/figwheel/main_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,6 +43,10 @@
 	return o.String() + e.String(), c
 }
 
+// settingsOf are the settings files by operator address; tests here do not run
+// side by side.
+var settingsOf = make(map[string]string)
+
 // startDaemon runs the daemon command with a settings file, as an operator
 // would, and returns its operator address.
 func startDaemon(t *testing.T, site, platform string) string {
@@ -55,6 +60,7 @@
 	if err := os.WriteFile(p, []byte(s), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	settingsOf[a] = p
 	x, stop := context.WithCancel(context.Background())
 	ended := make(chan int, 1)
 	go func() { ended <- run(x, []string{"daemon", "--settings", p}, &bytes.Buffer{}, &bytes.Buffer{}) }()
@@ -165,6 +171,70 @@
 	return string(b)
 }
 
+// TestSubmitToADaemonThatEnds submits to something that takes the submission
+// and ends: the outcome is unknown, and the id to ask again with is shown.
+func TestSubmitToADaemonThatEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-ended
+	})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1024))
+			_ = c.Close()
+		}
+	}()
+	o, code := figwheel(t, "submit", "--daemon", l.Addr().String(), "--change", "c7", write(t, "base.yaml", goodBase))
+	if code != exitUnknown || !strings.Contains(o, "--change c7") {
+		t.Errorf("exit code %d\n%s", code, o)
+	}
+}
+
+// TestReload changes the settings file of a running daemon and signals it,
+// with settings that are right and with some that are not.
+func TestReload(t *testing.T) {
+	p := httptest.NewServer(platformtest.Handler{Store: &platformtest.Store{}})
+	t.Cleanup(p.Close)
+	a := startDaemon(t, "a", p.URL)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, code := figwheel(t, "status", "--daemon", a); code == exitOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the daemon does not answer")
+		}
+	}
+	for _, f := range []func([]byte) []byte{
+		func(b []byte) []byte { return append(b, "RetryBurst: 7\n"...) },
+		func([]byte) []byte { return []byte("Instance: [\n") },
+	} {
+		path := settingsOf[a]
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, f(b), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if o, code := figwheel(t, "status", "--daemon", a); code != exitOK {
+			t.Errorf("exit code %d\n%s", code, o)
+		}
+	}
+}
+
 // TestByHandSettings keeps the settings of the by-hand session valid.
 func TestByHandSettings(t *testing.T) {
 	l, err := filepath.Glob("../../examples/by-hand/*.yaml")
--- a/cmd/figwheel/online.go
+++ b/cmd/figwheel/online.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os/user"
 	"strings"
 	"text/tabwriter"
@@ -92,9 +94,11 @@
 		}
 		return exitError(exitRefused)
 	}
-	if err != nil && r == nil {
-		return result.Wrap(result.Unreachable, err, "no answer")
+	var n *net.OpError
+	if r == nil && errors.As(err, &n) && n.Op == "dial" {
+		return result.Wrap(result.Unreachable, err, "no connection; nothing was submitted")
 	}
+	// A daemon that ended after it had read the submission may have carried it out.
 	_, _ = fmt.Fprintf(o, "outcome unknown; submit again with --change %s\n", id)
 	return exitError(exitUnknown)
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -31,6 +31,7 @@
 	wrap    func(name string) store.Store
 	daemons []*Daemon
 
+	edge       *Edge // nil is figwheel's own
 	stageLimit settings.Duration
 	now        func() time.Time // nil is time.Now
 	cut        atomic.Bool      // whether sites are cut off from each other
@@ -39,6 +40,8 @@
 	ended      []chan error
 }
 
+func newStore() *platformtest.Store { return &platformtest.Store{} }
+
 const testWait = 30 * time.Second
 
 func newFleet(t testing.TB, sites, instances int) *fleet {
@@ -91,7 +94,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	d, err := New(Options{Settings: s, Store: p, Now: now, Dial: f.dial(s.Site), Seed: uint64(i + 1), Log: l})
+	d, err := New(Options{Settings: s, Store: p, Now: now, Dial: f.dial(s.Site), Seed: uint64(i + 1), Log: l, Edge: f.edge})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/daemon/managed_test.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"figwheel/change"
+	"figwheel/result"
+	"figwheel/site"
+	"figwheel/store"
+)
+
+// managedFleet returns daemons whose configuration others write at
+// "config/main", as JSON of a table. Each has a store of its own that can be
+// cut off from the platform.
+type managedFleet struct {
+	*fleet
+	version string // of the configuration's object
+	cut     map[string]*atomic.Bool
+	reads   map[string]*atomic.Int64
+}
+
+type cuttableStore struct {
+	store.Store
+	cut   *atomic.Bool
+	reads *atomic.Int64
+}
+
+func (s cuttableStore) Get(x context.Context, key string) (store.Object, error) {
+	s.reads.Add(1)
+	if s.cut.Load() {
+		return store.Object{}, result.New(result.PlatformUnavailable, "cut off")
+	}
+	return s.Store.Get(x, key)
+}
+
+func (s cuttableStore) List(x context.Context, prefix string) (store.Listing, error) {
+	if s.cut.Load() {
+		return store.Listing{}, result.New(result.PlatformUnavailable, "cut off")
+	}
+	return s.Store.List(x, prefix)
+}
+
+func newManagedFleet(t *testing.T, instances int) *managedFleet {
+	m := &managedFleet{fleet: &fleet{t: t}, cut: make(map[string]*atomic.Bool), reads: make(map[string]*atomic.Int64)}
+	m.store = newStore()
+	e := ownEdge()
+	e.ConfigKey = "config/main"
+	e.DecodeConfig = site.DecodeTable
+	m.edge = &e
+	m.wrap = func(name string) store.Store {
+		if m.cut[name] == nil {
+			m.cut[name], m.reads[name] = &atomic.Bool{}, &atomic.Int64{}
+		}
+		return cuttableStore{m.store, m.cut[name], m.reads[name]}
+	}
+	m.write(1)
+	m.startAll(2, instances)
+	return m
+}
+
+// write puts the configuration of that number, as an operator does.
+func (m *managedFleet) write(number uint64) {
+	m.t.Helper()
+	t := site.Table{
+		Number:   number,
+		Services: []site.Service{{Name: "s", Deadline: time.Second, Slots: 2, Connections: 4}},
+		Routes:   []site.Route{{Name: "r", Host: "h.example", PathPrefix: "/", Targets: []site.Split{{Service: "s", Weight: 1}}}},
+	}
+	b, err := t.Encode()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.put(b)
+}
+
+func (m *managedFleet) put(b []byte) {
+	m.t.Helper()
+	o, err := m.store.Put(context.Background(), "config/main", m.version, b)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.version = o.Version
+}
+
+// TestManagedConfiguration checks that every daemon serves what the platform
+// holds, by number alone, and that what cannot be read changes nothing.
+func TestManagedConfiguration(t *testing.T) {
+	m := newManagedFleet(t, 6)
+	m.serving(1)
+	for n := uint64(2); n <= 20; n++ { // one after the other, faster than any poll
+		m.write(n)
+	}
+	m.serving(20)
+	m.write(12) // an older one
+	m.put([]byte(`{"Number": 30, "Routes": [{"Name": "r", "Targets": [{"Service": "gone", "Weight": 1}]}]}`))
+	m.put([]byte("no configuration"))
+	m.write(31)
+	m.serving(31)
+	if p := last(m.submit(0, "c1", bundle(2, 1, 1))); p.step != stepRefused || p.err.Code != result.Managed {
+		t.Errorf("a submission: %+v", p)
+	}
+}
+
+// TestManagedReads checks that few daemons read, and that others do once those
+// are cut off from the platform: a change then comes to everybody, also to
+// those who are cut off themselves.
+func TestManagedReads(t *testing.T) {
+	m := newManagedFleet(t, 8)
+	m.serving(1)
+	m.agree()
+	m.wait("nobody doubts those who read", func() bool {
+		return m.all(func(c *control) bool {
+			a, ok := c.poll.Age(time.Now())
+			return ok && a < change.TrustTime
+		})
+	})
+	before := make(map[string]int64)
+	for n, r := range m.reads {
+		before[n] = r.Load()
+	}
+	time.Sleep(4 * change.PollTime) // the time over which reads are counted
+	readers := 0
+	for n, r := range m.reads {
+		if r.Load()-before[n] >= 3 {
+			readers++
+			m.cut[n].Store(true)
+		}
+	}
+	if readers < 1 || readers > change.Pollers {
+		t.Errorf("%d daemons read at the pace, want at most %d", readers, change.Pollers)
+	}
+	m.write(2)
+	m.serving(2)
+}
+
+// TestManagedBootWithoutPlatform restarts a daemon that is cut off from the
+// platform: it serves what its peers serve.
+func TestManagedBootWithoutPlatform(t *testing.T) {
+	m := newManagedFleet(t, 4)
+	m.write(2)
+	m.serving(2)
+	s := m.daemons[1].Settings()
+	m.kill(1)
+	m.cut[s.Instance].Store(true)
+	s.Seeds = []string{m.daemons[0].Settings().PeerAddress}
+	m.start(1, s)
+	m.serving(2)
+}
+
+// TestPollDue shows when a daemon reads: by its rank, by the age of what it
+// was told, and less often while reads fail.
+func TestPollDue(t *testing.T) {
+	now := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	cases := []struct {
+		name            string
+		read, confirmed time.Duration // ago; 0 is never
+		failures        int
+		rank, live      int
+		want            bool
+	}{
+		{"at the start", 0, 0, 0, -1, 1, true},
+		{"a poller within its pace", 700 * time.Millisecond, 700 * time.Millisecond, 0, 2, 100, false},
+		{"a poller after its pace", 750 * time.Millisecond, 10 * time.Millisecond, 0, 2, 100, true},
+		{"another one that was told lately", time.Hour, time.Second, 0, 3, 100, false},
+		{"another one that was not", time.Hour, 1300 * time.Millisecond, 0, 3, 100, true},
+		{"one of very many that were not", 8 * time.Second, time.Hour, 0, 3, 810, false},
+		{"the same later", 9 * time.Second, time.Hour, 0, 3, 810, true},
+		{"a poller after failures", 2 * time.Second, time.Hour, 3, 0, 100, false},
+		{"the same later", 3 * time.Second, time.Hour, 3, 0, 100, true},
+		{"never less than every five seconds", 5 * time.Second, time.Hour, 50, 0, 100, true},
+	}
+	for _, c := range cases {
+		var p change.Poll
+		if c.confirmed > 0 {
+			p.Confirm(ago(c.confirmed))
+		}
+		if c.read > 0 {
+			p.Began(ago(c.read))
+		}
+		for range c.failures {
+			p.Ended(ago(c.read), false)
+		}
+		if got := p.Due(now, c.rank, c.live, 0.5); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/result/code.go
+++ b/result/code.go
@@ -61,7 +61,6 @@
 	WorkerRefused
 	WrongInstance
 	WrongAnswer
-	NoRetryLeft
 	RequestTooLarge
 )
 
@@ -150,7 +149,6 @@
 	{WorkerRefused, "WorkerRefused", "The worker said that it did not run the request."},
 	{WrongInstance, "WrongInstance", "Another worker has taken over the address; the request was not run."},
 	{WrongAnswer, "WrongAnswer", "What the worker sent is not its answer to the request, which may have run."},
-	{NoRetryLeft, "NoRetryLeft", "The budget of the service for retries is used up."},
 	{RequestTooLarge, "RequestTooLarge", "The body exceeds the limit of the configuration; the request was not run."},
 
 	{PlatformUnavailable, "PlatformUnavailable", "The platform did not take the request; nothing was written."},
