--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -150,19 +150,19 @@
 // of 140 services, so that a service has 6, of which one is near.
 func BenchmarkChoice(b *testing.B) {
 	m := make(map[string]link.Candidates)
+	now := time.Now()
 	for s := range 140 {
 		var l []link.Candidate
 		for i := range 6 {
 			p := &link.Peer{}
 			for range i {
-				p.Begin()
+				p.Begin(now)
 			}
 			l = append(l, link.Candidate{Name: fmt.Sprintf("i-%d-%d", s, i), Slots: 9, SameSite: i < 2, Peer: p})
 		}
 		m[fmt.Sprintf("s-%d", s)] = link.NewCandidates(l)
 	}
 	r := rand.New(rand.NewPCG(1, 1))
-	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
 		if m["s-77"].Choose(now, r, nil, link.FarCost) == nil {
--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -58,7 +58,7 @@
 		go func() { written <- o.Run(z, os.Stdout) }()
 		defer func() {
 			stop()
-			<-written // without standard output there is nowhere to say so
+			_ = <-written // without standard output there is nowhere to say so
 		}()
 		l := slog.New(slog.NewJSONHandler(o, &slog.HandlerOptions{Level: s.Level()}))
 		log.SetFlags(0)
@@ -112,6 +112,9 @@
 	t := time.NewTicker(reloadTime)
 	defer t.Stop()
 	last, err := os.ReadFile(path)
+	if err != nil {
+		event.Log(x, l, event.SettingsRefused, slog.String("Path", path), slog.String("Cause", err.Error()))
+	}
 	for {
 		asked := false
 		select {
--- a/link/choose.go
+++ b/link/choose.go
@@ -15,7 +15,7 @@
 	// hope is the part of the mean time of the others that is taken for the time
 	// at an instance of which it is not known, so that it is tried.
 	hope = 0.8
-	// avoidedCost is what an instance costs that failed lately.
+	// avoidedCost is what an instance costs that failed lately or is silent.
 	avoidedCost = 10 * time.Second
 	// compared is how many candidates a choice compares at most.
 	compared = 8
@@ -53,7 +53,7 @@
 	if !c.SameSite && !c.Local {
 		d += far
 	}
-	if c.Peer.Avoided(now) {
+	if c.Peer.Avoided(now) || c.Peer.Silent(now) {
 		d += avoidedCost
 	}
 	return d
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -16,7 +16,7 @@
 func loaded(n int) *link.Peer {
 	p := &link.Peer{}
 	for range n {
-		p.Begin()
+		p.Begin(now)
 	}
 	return p
 }
@@ -75,7 +75,7 @@
 	c := link.NewCandidates(l)
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		c.Choose(now, r, nil, link.FarCost).Peer.Begin()
+		c.Choose(now, r, nil, link.FarCost).Peer.Begin(now)
 	}
 	for _, k := range l {
 		if n := k.Peer.Load(now); n < 45 || n > 55 {
@@ -88,7 +88,7 @@
 	p := loaded(2)
 	var got []int64
 	for _, s := range []string{"7", "", "x", "-1", "0"} {
-		p.Begin()
+		p.Begin(now)
 		p.End(s, now)
 		got = append(got, p.Load(now))
 	}
@@ -96,3 +96,30 @@
 		t.Errorf("(-want +got)\n%s", d)
 	}
 }
+
+// TestSilent follows one peer through requests and answers.
+func TestSilent(t *testing.T) {
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	var p link.Peer
+	var got []bool
+	ask := func(ms int) { got = append(got, p.Silent(at(ms))) }
+	ask(10_000) // nothing is open
+	p.Begin(at(10_000))
+	ask(10_150)
+	ask(10_151) // longer than any request may be expected to take
+	p.End("1 100000", at(10_160))
+	ask(11_000) // nothing is open again
+	p.Begin(at(11_000))
+	p.Begin(at(11_300))
+	ask(11_400)           // requests take 100 ms there
+	ask(11_401)           // four times that have passed
+	p.End("", at(11_500)) // one was given up, which says nothing
+	ask(11_501)           //
+	p.Begin(at(11_600))   // one more is no answer either
+	ask(11_601)           //
+	p.End("1 100000", at(11_700))
+	ask(11_701)
+	if d := cmp.Diff([]bool{false, false, true, false, false, true, true, true, false}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -47,19 +47,44 @@
 	expected atomic.Int64 // reported by the last answer, and sent since
 	reported atomic.Int64 // Unix nanoseconds of that answer
 	hold     atomic.Int64 // nanoseconds that a request takes there
+	heard    atomic.Int64 // Unix nanoseconds of the last answer, or of the first request after none was open
 	badUntil atomic.Int64 // Unix nanoseconds until which it is avoided
 }
 
-// Begin counts a request sent to the instance.
-func (p *Peer) Begin() {
-	p.own.Add(1)
+const (
+	// silentHolds is how many times as long as a request takes an instance may
+	// let all of this daemon's requests wait before it counts as silent.
+	silentHolds = 4
+	// silentMin is the least of that: pauses of a busy process are shorter.
+	silentMin = 150 * time.Millisecond
+)
+
+// Begin counts a request sent to the instance at now.
+func (p *Peer) Begin(now time.Time) {
+	if p.own.Add(1) == 1 {
+		p.heard.Store(now.UnixNano())
+	}
 	p.expected.Add(1)
 }
 
+// Silent tells whether the instance has answered nothing for much longer than
+// a request takes, although requests of this daemon are open there. It may be
+// cut off, paused or without power, of which others hear only seconds later.
+func (p *Peer) Silent(now time.Time) bool {
+	if p.own.Load() == 0 {
+		return false
+	}
+	limit := max(silentMin, silentHolds*time.Duration(p.hold.Load()))
+	return now.UnixNano()-p.heard.Load() > int64(limit)
+}
+
 // End counts its answer at now. The load is what the answer says was in
 // flight, or empty when there was no answer.
 func (p *Peer) End(load string, now time.Time) {
 	p.own.Add(-1)
+	if load != "" {
+		p.heard.Store(now.UnixNano())
+	}
 	l, ok := ParseLoad(load)
 	if !ok {
 		p.expected.Add(-1)
