Patience reverted; an instance that is silent to all of a daemon's requests is avoided

What stays is that new requests avoid an instance that lets all open ones wait for four times what one takes.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"figwheel/contract"
@@ -75,11 +74,10 @@
 	set      []hop.Field // for the next daemon
 	own      []hop.Field // for the worker beside this one
 	random   *rand.Rand
-	tried    []string    // instances that need not be asked again
-	sent     int         // workers that it was sent to
-	again    bool        // another attempt may run it again
-	unknown  bool        // an attempt left open whether it ran
-	paid     atomic.Bool // the budget has been charged for the next attempt
+	tried    []string // instances that need not be asked again
+	sent     int      // workers that it was sent to
+	again    bool     // another attempt may run it again
+	unknown  bool     // an attempt left open whether it ran
 }
 
 // ServeHTTP implements http.Handler.
@@ -215,7 +213,7 @@
 			waits++
 		}
 		c.tried = append(c.tried, k.Name)
-		f = c.after(h.attempt(x, w, r, c, b, k, !wait))
+		f = c.after(h.attempt(x, w, r, c, k, !wait))
 		if f.OK() || f.Begun || x.Err() != nil || !h.another(c, f, b, l) || f.Code == result.Overloaded && waits >= waitsMax {
 			return f
 		}
@@ -236,7 +234,7 @@
 	if most == 0 {
 		most = attemptsDefault
 	}
-	return c.sent < most && len(c.tried) < l.Len() && (c.paid.Swap(false) || b.Spend())
+	return c.sent < most && len(c.tried) < l.Len() && b.Spend()
 }
 
 // after notes what f leaves open: there is no proof that the request did not
@@ -252,7 +250,7 @@
 	return f
 }
 
-func (h *Handler) attempt(x context.Context, w http.ResponseWriter, r *http.Request, c *call, b *contract.Budget, k *link.Candidate, noWait bool) hop.Result {
+func (h *Handler) attempt(x context.Context, w http.ResponseWriter, r *http.Request, c *call, k *link.Candidate, noWait bool) hop.Result {
 	now := h.Now()
 	k.Peer.Begin(now)
 	c.ask.NoWait = noWait
@@ -264,13 +262,8 @@
 		return f
 	}
 	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.fields(now)}
-	y, stop := c.patience(x, k, b, now)
-	f := p.Do(y, w, r, c.body)
-	stop()
+	f := p.Do(x, w, r, c.body)
 	now = h.Now()
-	if f.Code == result.CallerGone && x.Err() == nil {
-		f.Code = result.AnswerLost // this daemon gave it up, not the caller
-	}
 	k.Peer.End(f.Load, now)
 	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
 		k.Peer.Avoid(now.Add(avoidTime))
@@ -281,40 +274,6 @@
 	return f
 }
 
-const (
-	// patienceHolds is how many times as long as requests take at an instance one
-	// that may repeat waits there before it is tried elsewhere.
-	patienceHolds = 4
-	// patienceMin is the least of that.
-	patienceMin = 250 * time.Millisecond
-)
-
-// patience returns the context for the attempt at k. It ends before the call's
-// for a request that may repeat and still has time elsewhere, if the budget has
-// the retry, which is then paid for. It answers workers that hang and instances
-// that are cut off without a reset; slowness everywhere makes no further load.
-func (c *call) patience(x context.Context, k *link.Candidate, b *contract.Budget, now time.Time) (context.Context, context.CancelFunc) {
-	if !c.again || c.sent > 0 || !c.body.Replayable() {
-		return x, func() {}
-	}
-	hold := k.Peer.Hold(now)
-	t := max(patienceMin, c.route.Goal, patienceHolds*hold)
-	if now.Add(t+2*hold).After(c.deadline) || hold == 0 {
-		return x, func() {}
-	}
-	y, stop := context.WithCancel(x)
-	e := time.AfterFunc(t, func() {
-		if b.Spend() {
-			c.paid.Store(true)
-			stop()
-		}
-	})
-	return y, func() {
-		e.Stop()
-		stop()
-	}
-}
-
 // avoidTime is how long an instance whose daemon did not answer is avoided;
 // by then the others have found out what became of it.
 const avoidTime = 2 * time.Second
