Leaving: the worker serves others until callers have gone

Now the daemon first says that it is not ready, and takes its worker out only when callers have gone.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -227,23 +227,20 @@
 	return err
 }
 
-// leave drains. The order matters: others hear of it first, then callers are
-// sent elsewhere, and only what nobody uses any more is closed.
+// leave drains. The order matters. Callers are sent elsewhere first; until they
+// have gone, the worker goes on serving others: it is no less able than before.
+// Then other daemons hear that it gets no more, and only what nobody uses any
+// more is closed.
 func (d *Daemon) leave(x context.Context, s *servers) {
 	x, stop := context.WithTimeout(x, time.Duration(d.settings.DrainLimit))
 	defer stop()
 	d.event(x, event.Draining, slog.Int("InFlight", d.worker.InFlight()))
+	d.awaitAsked(x)
 	_ = d.do(x, func(c *control) {
 		c.draining = true
 		c.describe(c.d.now())
 	})
-	told := d.notReady.Load()
-	d.closing.Store(true)
 	pause(x, newsTime)
-	// Whoever sends callers here goes by what it is told when it asks.
-	for end := d.now().Add(askedTime); d.listeners.ready != nil && d.notReady.Load() < told+asksToLeave && d.now().Before(end) && pause(x, drainPoll); {
-		continue
-	}
 	for d.worker.InFlight() > 0 && pause(x, drainPoll) {
 		continue
 	}
@@ -255,6 +252,19 @@
 	d.sayLeft(x)
 }
 
+// awaitAsked says that this daemon is not ready and waits until whoever sends
+// callers here goes by that.
+func (d *Daemon) awaitAsked(x context.Context) {
+	told := d.notReady.Load()
+	d.closing.Store(true)
+	if d.listeners.ready == nil {
+		return
+	}
+	for end := d.now().Add(askedTime); d.notReady.Load() < told+asksToLeave && d.now().Before(end) && pause(x, drainPoll); {
+		continue
+	}
+}
+
 // sayLeft tells some peers that this instance is gone, so that none of them
 // has to find out.
 func (d *Daemon) sayLeft(x context.Context) {
