--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"log/slog"
@@ -58,7 +59,9 @@
 		go func() { written <- o.Run(z, os.Stdout) }()
 		defer func() {
 			stop()
-			_ = <-written // without standard output there is nowhere to say so
+			if err := <-written; err != nil {
+				_, _ = fmt.Fprintf(os.Stderr, "the log could not be written: %v\n", err)
+			}
 		}()
 		l := slog.New(slog.NewJSONHandler(o, &slog.HandlerOptions{Level: s.Level()}))
 		log.SetFlags(0)
--- a/site/doc.go
+++ b/site/doc.go
@@ -5,5 +5,6 @@
 // each overlay over the base and checks the result of every site; it returns
 // a Configuration or every problem found, each with its code and position.
 // Configuration.Snapshot compiles one site into the immutable Snapshot that
-// routes calls.
+// routes calls. A Table is the other source of snapshots: one configuration for
+// all sites that somebody else has accepted.
 package site
