--- /dev/null
+++ b/caller/edge_test.go
@@ -0,0 +1,255 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/caller"
+	"figwheel/contract"
+	"figwheel/hop"
+	"figwheel/link"
+	"figwheel/platform"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+// platformNode is a node that speaks the users' platform's headers.
+func platformNode(t testing.TB) *node {
+	n := &node{}
+	h := platform.Headers()
+	n.worker.Headers = h
+	n.worker.HoldBack = true
+	n.view.Store(caller.NewView(nil, nil))
+	tr := hop.NewTransport(0, time.Second, time.Minute)
+	t.Cleanup(tr.CloseIdleConnections)
+	n.call = start(t, &caller.Handler{Daemon: n, Worker: &n.worker, Transport: tr, Headers: h, Origin: "origin", Now: time.Now, Random: &sync.Pool{New: func() any { return rand.New(rand.NewPCG(1, 1)) }}})
+	n.link = start(t, &caller.LinkHandler{Daemon: n, Worker: &n.worker, Headers: h, Now: time.Now})
+	return n
+}
+
+// platformMesh returns an entry node before one node for each worker.
+func platformMesh(t testing.TB, workers ...string) *node {
+	t.Helper()
+	e := platformNode(t)
+	c := site.Table{
+		Number:   7,
+		Limits:   site.Limits{BodyBytes: 100},
+		Services: []site.Service{{Name: "s", Connections: 10}},
+		Routes: []site.Route{
+			{Name: "twice", Host: "h.example", PathPrefix: "/twice/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 300 * time.Millisecond, Attempts: 2},
+			{Name: "once", Host: "h.example", PathPrefix: "/once/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatForbidden, Timeout: 300 * time.Millisecond, Attempts: 2},
+		},
+	}
+	s, err := c.Snapshot("a", 7, "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, _ := s.Service("s")
+	var l []link.Candidate
+	for i, a := range workers {
+		n := platformNode(t)
+		n.view.Store(caller.NewView(s, nil))
+		n.worker.Set(upstream.Announcement{Service: "s", Address: a, State: "Ready", Slots: 2, ID: fmt.Sprintf("i-%d", i)}, v, time.Now())
+		l = append(l, link.Candidate{Name: fmt.Sprint(i), Address: address(n.link), Slots: 2, SameSite: i == 0, Peer: &link.Peer{}})
+	}
+	w := caller.NewView(s, map[string]link.Candidates{"s": link.NewCandidates(l)})
+	w.Retries = contract.Retries{Percent: 100, Burst: 10}
+	e.view.Store(w)
+	return e
+}
+
+// platformWorker serves connections by f, which gets each request and writes
+// what it likes. It counts the requests.
+func platformWorker(t testing.TB, runs *atomic.Int64, f func(c net.Conn, q *http.Request)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				b := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					runs.Add(1)
+					f(c, q)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// reply writes an answer of a worker; the headers come after the status line.
+func reply(c net.Conn, status, headers, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+// TestPlatformAnswers sends a request through two daemons to two workers that
+// behave the same, and shows what the caller gets and how often it ran.
+func TestPlatformAnswers(t *testing.T) {
+	id := func(q *http.Request) string {
+		return "Figwheel-Attempt-Id: " + q.Header.Get("Figwheel-Attempt-Id") + "\r\n"
+	}
+	const seal = "Figwheel-Server-Seal: 3e1b\r\n"
+	type seen struct {
+		Status int
+		Seal   string
+		Body   string
+		Runs   int64
+	}
+	cases := []struct {
+		name   string
+		path   string
+		worker func(c net.Conn, q *http.Request)
+		want   seen
+	}{
+		{"a whole answer", "/once/", func(c net.Conn, q *http.Request) { reply(c, "200 OK", id(q)+seal, "whole") }, seen{200, "3e1b", "whole", 1}},
+		{"the worker's failure", "/twice/", func(c net.Conn, q *http.Request) { reply(c, "500 Failed", id(q)+seal, "no") }, seen{500, "3e1b", "no", 1}},
+		{"the worker shed it", "/once/", func(c net.Conn, q *http.Request) {
+			reply(c, "503 Busy", id(q)+"Figwheel-Not-Executed: 1\r\n", "")
+		}, seen{Status: 503, Runs: 2}},
+		{"another worker has the address", "/once/", func(c net.Conn, _ *http.Request) { reply(c, "421 Misdirected", "", "") }, seen{Status: 503, Runs: 2}},
+		{"no proof, once", "/once/", func(c net.Conn, q *http.Request) { reply(c, "200 OK", id(q), "whose?") }, seen{Status: 502, Runs: 1}},
+		{"no proof, may repeat", "/twice/", func(c net.Conn, q *http.Request) { reply(c, "200 OK", id(q), "whose?") }, seen{Status: 502, Runs: 2}},
+		{"the answer to another request", "/once/", func(c net.Conn, _ *http.Request) {
+			reply(c, "200 OK", "Figwheel-Attempt-Id: other\r\n"+seal, "theirs")
+		}, seen{Status: 502, Runs: 1}},
+		{"not run, of another request", "/once/", func(c net.Conn, _ *http.Request) {
+			reply(c, "503 Busy", "Figwheel-Attempt-Id: other\r\nFigwheel-Not-Executed: 1\r\n", "")
+		}, seen{Status: 502, Runs: 1}},
+		{"an encoded answer", "/once/", func(c net.Conn, q *http.Request) {
+			reply(c, "200 OK", id(q)+seal+"Content-Encoding: gzip\r\n", "zip")
+		}, seen{Status: 502, Runs: 1}},
+		{"cut short", "/once/", func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+id(q)+seal+"Content-Length: 10\r\n\r\nhalf")
+			_ = c.Close()
+		}, seen{Status: 502, Runs: 1}},
+		{"cut in its chunks", "/twice/", func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+id(q)+seal+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+			_ = c.Close()
+		}, seen{Status: 502, Runs: 2}},
+		{"without a length, whole", "/once/", func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+id(q)+seal+"\r\nto the end")
+			_ = c.Close()
+		}, seen{200, "3e1b", "to the end", 1}},
+		{"it hangs", "/once/", func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }, seen{Status: 504, Runs: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			e := platformMesh(t, platformWorker(t, &runs, c.worker), platformWorker(t, &runs, c.worker))
+			q := request(t, e, "POST", c.path, nil)
+			q.Header.Set("Figwheel-Attempt-Id", "a1")
+			q.Header.Set("Figwheel-Request-Deadline", "1000")
+			p, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = p.Body.Close() }()
+			b, err := io.ReadAll(p.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := seen{Status: p.StatusCode, Seal: p.Header.Get("Figwheel-Server-Seal"), Runs: runs.Load()}
+			if p.Header.Get(contract.CodeHeader) == "" {
+				g.Body = string(b)
+			}
+			if d := cmp.Diff(c.want, g); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+			if a := p.Header.Get("Retry-After"); (a != "") != (p.StatusCode == http.StatusServiceUnavailable) {
+				t.Errorf("status %d with Retry-After %q", p.StatusCode, a)
+			}
+		})
+	}
+}
+
+// TestPlatformRequest shows what a worker gets of a request: everything that
+// the caller sent but what concerns one connection, and the headers that the
+// daemons set, whatever the caller put there.
+func TestPlatformRequest(t *testing.T) {
+	type seen struct {
+		Line, Body, ID, Origin, Target, Own string
+		InTime                              bool
+	}
+	got := make(chan seen, 1)
+	var runs atomic.Int64
+	w := platformWorker(t, &runs, func(c net.Conn, q *http.Request) {
+		h := q.Header
+		ms := 0
+		_, _ = fmt.Sscan(h.Get("Figwheel-Request-Deadline"), &ms)
+		var own []string
+		for k := range h {
+			if strings.HasPrefix(k, contract.HeaderPrefix) {
+				own = append(own, k)
+			}
+		}
+		got <- seen{
+			Line: q.Method + " " + q.Host + q.RequestURI, ID: h.Get("Figwheel-Attempt-Id"), Origin: h.Get("Figwheel-Caller-Service"),
+			Target: h.Get("Figwheel-Target-Instance"), Own: fmt.Sprint(len(own)), Body: h.Get("X-Kept") + h.Get("X-Hop"),
+			InTime: ms > 0 && ms <= 300,
+		}
+		reply(c, "200 OK", "Figwheel-Attempt-Id: a1\r\nFigwheel-Server-Seal: s\r\n", "")
+	})
+	e := platformMesh(t, w)
+	q := request(t, e, "DELETE", "/once/a%2Fb?c=d", nil)
+	for k, v := range map[string]string{
+		"Figwheel-Attempt-Id": "a1", "Figwheel-Request-Deadline": "5000", "Figwheel-Caller-Service": "forged",
+		"Figwheel-Target-Instance": "forged", "Figwheel-Rank": "0", "X-Kept": "kept", "X-Hop": "hop", "Connection": "X-Hop",
+	} {
+		q.Header.Set(k, v)
+	}
+	if g := send(t, q); g.Status != http.StatusOK {
+		t.Fatalf("%+v", g)
+	}
+	want := seen{Line: "DELETE h.example/once/a%2Fb?c=d", ID: "a1", Origin: "origin", Target: "i-0", Own: "4", Body: "kept", InTime: true}
+	if d := cmp.Diff(want, <-got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+// TestPlatformRefusals shows what is refused without any worker.
+func TestPlatformRefusals(t *testing.T) {
+	e := platformMesh(t, refusing(t))
+	for _, c := range []struct {
+		name, path, body string
+		want             got
+	}{
+		{"no route", "/none/", "", got{Status: 404, Outcome: "not-run", Code: "FW3001"}},
+		{"too large", "/once/", strings.Repeat("x", 101), got{Status: 413, Outcome: "not-run", Code: "FW3018"}},
+		{"no worker takes it", "/once/", "x", got{Status: 503, Outcome: "not-run", Code: "FW3006"}},
+	} {
+		if d := cmp.Diff(c.want, send(t, request(t, e, "POST", c.path, strings.NewReader(c.body)))); d != "" {
+			t.Errorf("%s: (-want +got)\n%s", c.name, d)
+		}
+	}
+}
