--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -149,9 +149,8 @@
 	return g
 }
 
-// raw is a worker below HTTP: it counts requests and does with the connection
-// what f says.
-func raw(t testing.TB, runs *atomic.Int64, f func(c net.Conn)) string {
+// listen serves each connection by f until the test ends.
+func listen(t testing.TB, f func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -171,12 +170,6 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, q.Body)
-				runs.Add(1)
 				f(c)
 			}()
 		}
@@ -184,6 +177,21 @@
 	return l.Addr().String()
 }
 
+// raw is a worker below HTTP: it counts requests and does with the connection
+// what f says.
+func raw(t testing.TB, runs *atomic.Int64, f func(c net.Conn)) string {
+	t.Helper()
+	return listen(t, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		runs.Add(1)
+		f(c)
+	})
+}
+
 func refusing(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/caller/edge_test.go
+++ b/caller/edge_test.go
@@ -73,38 +73,18 @@
 // what it likes. It counts the requests.
 func platformWorker(t testing.TB, runs *atomic.Int64, f func(c net.Conn, q *http.Request)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-done
-	})
-	go func() {
-		defer close(done)
+	return listen(t, func(c net.Conn) {
+		b := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			q, err := http.ReadRequest(b)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				b := bufio.NewReader(c)
-				for {
-					q, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, q.Body)
-					runs.Add(1)
-					f(c, q)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, q.Body)
+			runs.Add(1)
+			f(c, q)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // reply writes an answer of a worker; the headers come after the status line.
