--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +42,36 @@
 	ended      []chan error
 }
 
+// Ports of the fleet. The kernel picks local ports of connections from 32768
+// upwards: an address there that a stopped daemon left may be taken by any
+// connection before the daemon is started again.
+const (
+	portMin = 20_000
+	portMax = 32_000
+)
+
+// nextPort starts at another place in each process, for tests of several may
+// run side by side.
+var nextPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(int64(os.Getpid()) * 997)
+	return &n
+}()
+
+// listenLow listens on an address; one of port 0 gets a port of the fleet.
+func listenLow(address string) (net.Listener, error) {
+	h, p, err := net.SplitHostPort(address)
+	if err != nil || p != "0" {
+		return net.Listen("tcp", address)
+	}
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(h, strconv.Itoa(portMin+int(nextPort.Add(1))%(portMax-portMin))))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+	}
+}
+
 func newStore() *platformtest.Store { return &platformtest.Store{} }
 
 const testWait = 30 * time.Second
@@ -94,7 +126,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	d, err := New(Options{Settings: s, Store: p, Now: now, Dial: f.dial(s.Site), Seed: uint64(i + 1), Log: l, Edge: f.edge})
+	d, err := New(Options{Settings: s, Store: p, Now: now, Dial: f.dial(s.Site), Seed: uint64(i + 1), Log: l, Edge: f.edge, Listen: listenLow})
 	if err != nil {
 		f.t.Fatal(err)
 	}
