--- a/site/route.go
+++ b/site/route.go
@@ -148,12 +148,17 @@
 	if t.PathPrefix == "" {
 		t.PathPrefix = "/"
 	}
-	for _, s := range t.Targets {
-		t.total += s.Weight
-	}
 	return t
 }
 
+func totalWeight(l []Split) int {
+	n := 0
+	for _, s := range l {
+		n += s.Weight
+	}
+	return n
+}
+
 func (r route) lines(name string) []Line {
 	l := lister{prefix: "Routes." + name + "."}
 	add(&l, "Host", r.host)
--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -27,19 +27,26 @@
 	if !ok {
 		return nil, result.New(result.UnknownSite, "the configuration lists no site %s", site)
 	}
-	s := &Snapshot{
-		number:   number,
-		site:     site,
-		content:  content,
-		services: make(map[string]*Service, len(m.services)),
-		byHost:   make(map[string][]Route),
-	}
+	services := make(map[string]*Service, len(m.services))
 	for n, v := range m.services {
 		t := v.compile(n)
-		s.services[n] = &t
+		services[n] = &t
 	}
+	routes := make([]Route, 0, len(m.routes))
 	for _, n := range sorted(m.routes) {
-		r := m.routes[n].compile(n)
+		routes = append(routes, m.routes[n].compile(n))
+	}
+	s := newSnapshot(services, routes)
+	s.number, s.site, s.content = number, site, content
+	return s, nil
+}
+
+// newSnapshot returns a snapshot whose routes are in the order in which they
+// are tried; of equals the one that comes first here is tried first.
+func newSnapshot(services map[string]*Service, routes []Route) *Snapshot {
+	s := &Snapshot{services: services, byHost: make(map[string][]Route)}
+	for _, r := range routes {
+		r.total = totalWeight(r.Targets)
 		if r.Host == "" {
 			s.anyHost = append(s.anyHost, r)
 			continue
@@ -50,7 +57,7 @@
 		slices.SortStableFunc(l, Route.before)
 	}
 	slices.SortStableFunc(s.anyHost, Route.before)
-	return s, nil
+	return s
 }
 
 // Number returns the version, 0 for a nil snapshot.
--- a/site/table.go
+++ b/site/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -56,7 +55,6 @@
 		names[s.Name] = true
 	}
 	for _, r := range t.Routes {
-		total := 0
 		for _, p := range r.Targets {
 			if !names[p.Service] {
 				return result.New(result.UnknownService, "route %s leads to service %q, which the configuration does not have", r.Name, p.Service)
@@ -64,9 +62,8 @@
 			if p.Weight < 0 {
 				return result.New(result.OutOfRange, "route %s has the weight %d", r.Name, p.Weight)
 			}
-			total += p.Weight
 		}
-		if total == 0 {
+		if totalWeight(r.Targets) == 0 {
 			return result.New(result.Missing, "route %s leads nowhere", r.Name)
 		}
 	}
@@ -79,30 +76,11 @@
 // Snapshot compiles the table for a site under the number and the hash of its
 // bytes.
 func (t Table) Snapshot(site string, number uint64, content string) (*Snapshot, error) {
-	s := &Snapshot{
-		number:   number,
-		site:     site,
-		content:  content,
-		services: make(map[string]*Service, len(t.Services)),
-		byHost:   make(map[string][]Route),
-		limits:   t.Limits,
-	}
+	services := make(map[string]*Service, len(t.Services))
 	for _, v := range t.Services {
-		s.services[v.Name] = &v
-	}
-	for _, r := range t.Routes {
-		for _, p := range r.Targets {
-			r.total += p.Weight
-		}
-		if r.Host == "" {
-			s.anyHost = append(s.anyHost, r)
-			continue
-		}
-		s.byHost[r.Host] = append(s.byHost[r.Host], r)
-	}
-	for _, l := range s.byHost {
-		slices.SortStableFunc(l, Route.before)
+		services[v.Name] = &v
 	}
-	slices.SortStableFunc(s.anyHost, Route.before)
+	s := newSnapshot(services, t.Routes)
+	s.number, s.site, s.content, s.limits = number, site, content, t.Limits
 	return s, nil
 }
