--- a/daemon/config.go
+++ b/daemon/config.go
@@ -73,7 +73,9 @@
 	return d.do(x, func(c *control) {
 		c.configVersion = o.Version
 		if c.contents[h] == nil {
-			c.contents[h] = &content{hash: h, data: b, config: t}
+			k := newContent(h, b)
+			k.config = t
+			c.contents[h] = k
 		}
 		if c.observe(managedHead(t.Number, h)) {
 			c.eager = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -176,6 +177,18 @@
 	data    []byte
 	config  compiled
 	refusal *result.Error
+
+	// compressed returns the data as peers fetch it. It is made once: a herd of
+	// peers that each cost a compressor of its own would take megabytes.
+	compressed func() ([]byte, error)
+}
+
+func newContent(hash string, data []byte) *content {
+	return &content{
+		hash:       hash,
+		data:       data,
+		compressed: sync.OnceValues(func() ([]byte, error) { return store.Compress(data, nil) }),
+	}
 }
 
 // pause waits for t or the end of x and tells whether x goes on.
@@ -222,6 +235,3 @@
 	s.calls.Add(1)
 	return s.Store.Watch(x, prefix, revision, f)
 }
-
-// compressed returns the content as peers fetch it.
-func (k *content) compressed() ([]byte, error) { return store.Compress(k.data, nil) }
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -246,7 +246,7 @@
 // compile checks a content for this site. Every instance does that itself: a
 // daemon of another build may refuse what the submitting one took.
 func (d *Daemon) compile(hash string, b []byte) *content {
-	k := &content{hash: hash, data: b}
+	k := newContent(hash, b)
 	if d.managed() {
 		t, err := site.DecodeTable(b)
 		if err != nil {
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,3 +191,30 @@
 		}
 	}
 }
+
+// TestFetchedByAHerd lets all peers of a daemon fetch a large content at one
+// time: it is compressed once, and costs no megabytes.
+func TestFetchedByAHerd(t *testing.T) {
+	const fetches, bytesMax = 50, 4 << 20
+	d := bytes.Repeat([]byte("a route, and what it leads to. "), 10_000)
+	k := newContent(site.Hash(d), d)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range fetches {
+		z, err := k.compressed()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(z) == 0 {
+			t.Fatal("nothing to fetch")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > bytesMax {
+		t.Errorf("%d fetches allocated %d bytes, want at most %d", fetches, n, bytesMax)
+	}
+	z, _ := k.compressed()
+	if b, err := store.Verified(z, nil, k.hash); err != nil || !bytes.Equal(b, d) {
+		t.Errorf("fetched %d bytes, want %d: %v", len(b), len(d), err)
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -20,8 +20,9 @@
 	messageBytesMax = 16 << 20
 
 	// compressBytesMin is the size from which a message is compressed: below
-	// it, setting up the compressor costs more than all the rest.
-	compressBytesMin = 4 << 10
+	// it, the megabyte that a compressor takes costs more than the bytes.
+	// Contents are compressed already.
+	compressBytesMin = 32 << 10
 )
 
 // Client calls other daemons by their peer address.
--- a/store/content.go
+++ b/store/content.go
@@ -21,9 +21,14 @@
 // Compress returns d compressed; base, which may be empty, is a content that
 // the reader has too, and of which little needs to be said again.
 func Compress(d, base []byte) ([]byte, error) {
-	o := []zstd.EOption{zstd.WithEncoderConcurrency(1)}
+	o := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderLevel(zstd.SpeedFastest), // its tables are a tenth of the default's
+		zstd.WithWindowSize(windowFor(len(base) + len(d))),
+	}
 	if len(base) > 0 {
-		o = append(o, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithWindowSize(windowFor(len(base)+len(d))))
+		o = append(o, zstd.WithEncoderDictRaw(dictionaryID, base))
 	}
 	e, err := zstd.NewWriter(nil, o...)
 	if err != nil {
@@ -35,7 +40,7 @@
 
 // Decompress reverses Compress with the same base.
 func Decompress(z, base []byte) ([]byte, error) {
-	o := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(site.BundleBytesMax * 2)}
+	o := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(site.BundleBytesMax * 2)}
 	if len(base) > 0 {
 		o = append(o, zstd.WithDecoderDictRaw(dictionaryID, base))
 	}
