Choice: near instances are always compared, far ones beside them

Cause: a choice compared eight candidates from a random place in the order of names, and names of one site stand together: with more than eight instances most choices saw one site only. TestNearAmongMany: 467 of 1000 choices left the site before, 0 after.

--- a/link/choose.go
+++ b/link/choose.go
@@ -17,7 +17,8 @@
 	hope = 0.8
 	// avoidedCost is what an instance costs that failed lately or is silent.
 	avoidedCost = 10 * time.Second
-	// compared is how many candidates a choice compares at most.
+	// compared is how many near candidates a choice compares at most, and how
+	// many far ones.
 	compared = 8
 )
 
@@ -50,7 +51,7 @@
 	}
 	// Of two that have free slots the emptier one is the safer guess.
 	d += time.Duration(int64(h) * min(load, slots) / slots / 4)
-	if !c.SameSite && !c.Local {
+	if !c.isNear() {
 		d += far
 	}
 	if c.Peer.Avoided(now) || c.Peer.Silent(now) {
@@ -59,11 +60,32 @@
 	return d
 }
 
-// Candidates are the ready instances of one service. They are immutable.
-type Candidates struct{ all []Candidate }
+// Candidates are the ready instances of one service, the near ones first. They
+// are immutable.
+type Candidates struct {
+	all  []Candidate
+	near int // how many of them are at this site
+}
 
-// NewCandidates returns candidates; it keeps l.
-func NewCandidates(l []Candidate) Candidates { return Candidates{l} }
+// NewCandidates returns candidates; it keeps l and puts it in order.
+func NewCandidates(l []Candidate) Candidates {
+	slices.SortStableFunc(l, func(a, b Candidate) int {
+		switch {
+		case a.isNear() == b.isNear():
+			return 0
+		case a.isNear():
+			return -1
+		}
+		return 1
+	})
+	n := slices.IndexFunc(l, func(k Candidate) bool { return !k.isNear() })
+	if n < 0 {
+		n = len(l)
+	}
+	return Candidates{all: l, near: n}
+}
+
+func (c *Candidate) isNear() bool { return c.Local || c.SameSite }
 
 // Len returns how many candidates there are.
 func (c Candidates) Len() int { return len(c.all) }
@@ -89,34 +111,47 @@
 
 // Choose returns the candidate for the next attempt at now, or nil. Candidates
 // named in tried are left out. Another site counts as so much longer as far
-// says: bytes between data centres have a price. It answers a load that is uneven over sites and
-// instances of unequal speed: the candidate with the least expected time wins,
-// of all when they are few, otherwise of some picked at random, so that many
-// daemons with the same news do not all choose the same one.
+// says: bytes between data centres have a price. It answers a load that is
+// uneven over sites and instances of unequal speed: the candidate with the least
+// expected time wins, of all when they are few, otherwise of some near and some
+// far ones picked at random, so that many daemons with the same news do not all
+// choose the same one.
 func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string, far time.Duration) *Candidate {
-	n := len(c.all)
-	if n == 0 {
-		return nil
-	}
-	var best *Candidate
-	var least time.Duration
-	first := r.IntN(n)
-	mean := holdFirst
+	b := best{now: now, far: far, tried: tried, mean: holdFirst}
 	if h := c.Hold(now); h > 0 {
-		mean = time.Duration(hope * float64(h))
+		b.mean = time.Duration(hope * float64(h))
+	}
+	b.look(c.all[:c.near], r)
+	b.look(c.all[c.near:], r)
+	return b.candidate
+}
+
+// best is the candidate with the least expected time so far.
+type best struct {
+	now       time.Time
+	mean, far time.Duration
+	tried     []string
+	candidate *Candidate
+	cost      time.Duration
+}
+
+// look compares some of l, from a random place on.
+func (b *best) look(l []Candidate, r *rand.Rand) {
+	n := len(l)
+	if n == 0 {
+		return
 	}
-	seen := 0
+	first, seen := r.IntN(n), 0
 	for i := range n {
-		k := &c.all[(first+i)%n]
-		if slices.Contains(tried, k.Name) {
+		k := &l[(first+i)%n]
+		if slices.Contains(b.tried, k.Name) {
 			continue
 		}
-		if d := k.cost(now, mean, far); best == nil || d < least {
-			best, least = k, d
+		if d := k.cost(b.now, b.mean, b.far); b.candidate == nil || d < b.cost {
+			b.candidate, b.cost = k, d
 		}
 		if seen++; seen == compared {
-			break
+			return
 		}
 	}
-	return best
 }
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -123,3 +124,26 @@
 		t.Errorf("(-want +got)\n%s", d)
 	}
 }
+
+// TestNearAmongMany chooses among many instances of four sites that stand in
+// the order of their names, which starts with the site: there are free ones
+// near, and every choice finds one.
+func TestNearAmongMany(t *testing.T) {
+	var l []link.Candidate
+	for _, s := range []string{"a", "b", "c", "d"} {
+		for i := range 6 {
+			l = append(l, link.Candidate{Name: fmt.Sprintf("%s-%d", s, i), Slots: 4, SameSite: s == "c", Peer: loaded(1)})
+		}
+	}
+	c := link.NewCandidates(l)
+	r := rand.New(rand.NewPCG(1, 1))
+	far := 0
+	for range 1000 {
+		if k := c.Choose(now, r, nil, link.FarCost); !k.SameSite {
+			far++
+		}
+	}
+	if far > 0 {
+		t.Errorf("%d of 1000 choices went to another site", far)
+	}
+}
