What is known of an instance keeps its age over steps of the time of day

Cause: loads, silences and times to avoid an instance were kept as Unix times, and the time of day may step: after a step back of an hour a report of 8 requests was taken for 57,604, after one ahead everything looked old. Ruled out: the gate, membership and polling, which keep time.Time with the steady clock's reading. TestClockSteps fails so before and passes after.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -198,7 +198,7 @@
 // lapse forgets a worker that stopped announcing itself and answers nothing.
 func (c *control) lapse(now time.Time) {
 	t := cmp.Or(time.Duration(c.settings.WorkerLapse), upstream.LapseTime)
-	if c.announcement.Service == "" || now.Sub(c.announced) < t || now.Sub(c.d.worker.Answered()) < t {
+	if c.announcement.Service == "" || now.Sub(c.announced) < t || c.d.worker.SilentFor(now) < t {
 		return
 	}
 	c.workerLost(now, "silent")
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -147,3 +148,33 @@
 		t.Errorf("%d of 1000 choices went to another site", far)
 	}
 }
+
+// TestClockSteps steps the time of day between a report and its use: what was
+// known keeps its age, since the steady clock does not step.
+func TestClockSteps(t *testing.T) {
+	for _, s := range []time.Duration{-time.Hour, time.Hour} {
+		var p link.Peer
+		at := time.Now() // only this has a reading of the steady clock
+		p.Report(link.Load{InFlight: 8, Hold: 100 * time.Millisecond}, at)
+		p.Avoid(at.Add(time.Second))
+		later := stepped(at.Add(250*time.Millisecond), s)
+		if n := p.Load(later); n != 4 {
+			t.Errorf("step %s: a load of %d, want 4", s, n)
+		}
+		if h := p.Hold(later); h != 100*time.Millisecond {
+			t.Errorf("step %s: %s", s, h)
+		}
+		if !p.Avoided(later) || p.Avoided(later.Add(time.Second)) {
+			t.Errorf("step %s: the time for which it is avoided has changed", s)
+		}
+	}
+}
+
+// stepped returns t as the clocks read it after a step of the time of day by
+// whole seconds: package time keeps these beside the reading of the steady
+// clock, 30 bits up in the first word.
+func stepped(t time.Time, by time.Duration) time.Time {
+	w := (*uint64)(unsafe.Pointer(&t))
+	*w += uint64(int64(by/time.Second) << 30)
+	return t
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -45,10 +45,10 @@
 type Peer struct {
 	own      atomic.Int64 // sent by this daemon and not answered yet
 	expected atomic.Int64 // reported by the last answer, and sent since
-	reported atomic.Int64 // Unix nanoseconds of that answer
+	reported Moment       // of that answer
 	hold     atomic.Int64 // nanoseconds that a request takes there
-	heard    atomic.Int64 // Unix nanoseconds of the last answer, or of the first request after none was open
-	badUntil atomic.Int64 // Unix nanoseconds until which it is avoided
+	heard    Moment       // of the last answer, or of the first request after none was open
+	badUntil Moment       // until which it is avoided
 }
 
 const (
@@ -62,7 +62,7 @@
 // Begin counts a request sent to the instance at now.
 func (p *Peer) Begin(now time.Time) {
 	if p.own.Add(1) == 1 {
-		p.heard.Store(now.UnixNano())
+		p.heard.Set(now)
 	}
 	p.expected.Add(1)
 }
@@ -75,7 +75,7 @@
 		return false
 	}
 	limit := max(silentMin, silentHolds*time.Duration(p.hold.Load()))
-	return now.UnixNano()-p.heard.Load() > int64(limit)
+	return p.heard.Age(now) > limit
 }
 
 // End counts its answer at now. The load is what the answer says was in
@@ -83,7 +83,7 @@
 func (p *Peer) End(load string, now time.Time) {
 	p.own.Add(-1)
 	if load != "" {
-		p.heard.Store(now.UnixNano())
+		p.heard.Set(now)
 	}
 	l, ok := ParseLoad(load)
 	if !ok {
@@ -96,7 +96,7 @@
 // Report takes in what the instance says of its load at now.
 func (p *Peer) Report(l Load, now time.Time) {
 	p.expected.Store(int64(l.InFlight))
-	p.reported.Store(now.UnixNano())
+	p.reported.Set(now)
 	if l.Hold > 0 {
 		p.hold.Store(int64(l.Hold))
 	}
@@ -107,8 +107,8 @@
 // full is tried again.
 func (p *Peer) Load(now time.Time) int64 {
 	own := p.own.Load()
-	age := now.UnixNano() - p.reported.Load()
-	if age >= int64(trustTime) {
+	age := p.reported.Age(now)
+	if age >= trustTime {
 		return own
 	}
 	more := max(0, p.expected.Load()-own)
@@ -118,7 +118,7 @@
 // Hold returns the mean time that a request takes at the instance, 0 if that
 // was not heard lately.
 func (p *Peer) Hold(now time.Time) time.Duration {
-	if now.UnixNano()-p.reported.Load() > int64(holdTime) {
+	if p.reported.Age(now) > holdTime {
 		return 0
 	}
 	return time.Duration(p.hold.Load())
@@ -126,7 +126,7 @@
 
 // Avoid keeps requests away until the time t unless there is no other
 // instance.
-func (p *Peer) Avoid(t time.Time) { p.badUntil.Store(t.UnixNano()) }
+func (p *Peer) Avoid(t time.Time) { p.badUntil.Set(t) }
 
 // Avoided tells whether the instance is to be avoided at now.
-func (p *Peer) Avoided(now time.Time) bool { return now.UnixNano() < p.badUntil.Load() }
+func (p *Peer) Avoided(now time.Time) bool { return p.badUntil.Age(now) < 0 }
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -43,7 +43,7 @@
 
 	gate     Gate
 	state    atomic.Pointer[workerState]
-	answered atomic.Int64 // Unix nanoseconds of the last answer
+	answered link.Moment // of the last answer
 }
 
 type workerState struct {
@@ -113,8 +113,8 @@
 	return link.Load{InFlight: n, Hold: h}
 }
 
-// Answered returns when the worker last answered a request.
-func (k *Worker) Answered() time.Time { return time.Unix(0, k.answered.Load()) }
+// SilentFor returns how long ago the worker last answered a request.
+func (k *Worker) SilentFor(now time.Time) time.Duration { return k.answered.Age(now) }
 
 // Request is what the daemon knows of a request beyond what stands in it.
 type Request struct {
@@ -174,7 +174,7 @@
 // note draws what follows from how a request ended at the worker.
 func (k *Worker) note(x context.Context, s *workerState, f *hop.Result, now time.Time) {
 	if f.Status > 0 || f.Code == result.WorkerRefused {
-		k.answered.Store(now.UnixNano())
+		k.answered.Set(now)
 	}
 	if f.Outcome != contract.NotRun || x.Err() != nil {
 		if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
