Answers between daemons tell how old the confirmation of the configuration is

Ruled out: starts (a list and a read each). Calls cross the fleet many times a second, so their answers carry the age, counted from when the request was sent; so does that of probes now, which counted from the receipt of the answer. TestConfirmedByCalls shows what is believed.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -39,6 +39,12 @@
 	View() *View
 	// Seen hands over the release that another daemon serves.
 	Seen(release string)
+	// Age returns the age of the newest confirmation that the release served
+	// here is the newest one, in milliseconds; empty without one.
+	Age(now time.Time) string
+	// Confirmed hands over such an age, told with the release by the answer to
+	// a request that was sent at the time t.
+	Confirmed(release, age string, t time.Time)
 	// Closing tells whether callers should look for another daemon.
 	Closing() bool
 }
@@ -261,6 +267,7 @@
 		k.Peer.End(h.Worker.Load().String(), h.Now())
 		return f
 	}
+	sent := now
 	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.fields(now)}
 	f := p.Do(x, w, r, c.body)
 	now = h.Now()
@@ -271,6 +278,9 @@
 	if f.Release != "" && f.Release != c.view.release {
 		h.Daemon.Seen(f.Release)
 	}
+	if f.Age != "" {
+		h.Daemon.Confirmed(f.Release, f.Age, sent)
+	}
 	return f
 }
 
--- a/caller/link.go
+++ b/caller/link.go
@@ -37,6 +37,9 @@
 		v = h.Daemon.View()
 	}
 	w.Header().Set(contract.ReleaseHeader, v.release)
+	if a := h.Daemon.Age(h.Now()); a != "" {
+		w.Header().Set(contract.AgeHeader, a)
+	}
 	f := h.serve(w, r)
 	if !f.Begun {
 		h.addLoad(w.Header())
--- a/change/poll.go
+++ b/change/poll.go
@@ -33,6 +33,17 @@
 	pollWaitMax = 5 * time.Second
 )
 
+// Confirmation says that at a time nothing newer than a version was accepted.
+type Confirmation struct {
+	Number uint64
+	At     time.Time
+}
+
+// After tells whether c says more than o.
+func (c Confirmation) After(o Confirmation) bool {
+	return c.Number > o.Number || c.Number == o.Number && c.At.After(o.At)
+}
+
 // Confirm notes that the store had nothing newer than what is known here at
 // the time t.
 func (p *Poll) Confirm(t time.Time) {
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -50,7 +50,8 @@
 	ServiceHeader = "Figwheel-Service"
 	ReleaseHeader = "Figwheel-Release"
 	LoadHeader    = "Figwheel-Load"
-	QueueHeader   = "Figwheel-Queue" // no, if another daemon may have a free slot
+	AgeHeader     = "Figwheel-Age-Ms" // of the newest confirmation that no newer release is accepted
+	QueueHeader   = "Figwheel-Queue"  // no, if another daemon may have a free slot
 	RankHeader    = "Figwheel-Rank"
 	GoalHeader    = "Figwheel-Goal-Ms" // time left in which an answer is worth most
 	KindHeader    = "Figwheel-Kind"    // of requests that take about the same time: the route
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"figwheel/change"
@@ -20,6 +21,9 @@
 	if !c.d.managed() || c.polling {
 		return
 	}
+	if l := c.d.latest.Load(); l != nil && l.Number == c.known.Head.Sequence {
+		c.poll.Confirm(l.At) // calls carry it faster than membership does
+	}
 	s := c.table.Self()
 	if !c.poll.Due(now, c.table.Rank("", "config", s.Name), c.table.Count(), c.pollJitter) {
 		return
@@ -34,6 +38,7 @@
 			c.platformAnswered(err)
 			c.poll.Ended(now, err == nil)
 			if err == nil {
+				c.confirm(now)
 				c.configKnown = true
 				c.advance()
 			}
@@ -103,8 +108,47 @@
 // says nothing here unless that is the head that is known here.
 func (c *control) confirmed(h change.Head, age uint32, now time.Time) {
 	if age > 0 && h.Sequence == c.known.Head.Sequence {
-		c.poll.Confirm(now.Add(-time.Duration(age-1) * time.Millisecond))
+		c.confirm(now.Add(-time.Duration(age-1) * time.Millisecond))
+	}
+}
+
+// confirm notes that the head known here was the newest at the time t.
+func (c *control) confirm(t time.Time) {
+	c.poll.Confirm(t)
+	c.d.confirm(change.Confirmation{Number: c.known.Head.Sequence, At: t})
+}
+
+func (d *Daemon) confirm(n change.Confirmation) {
+	for {
+		o := d.latest.Load()
+		if o != nil && !n.After(*o) || d.latest.CompareAndSwap(o, &n) {
+			return
+		}
+	}
+}
+
+// Age implements caller.Daemon.
+func (d *Daemon) Age(now time.Time) string {
+	l := d.latest.Load()
+	if !d.managed() || l == nil || l.Number != d.View().Snapshot.Number() {
+		return ""
+	}
+	a := now.Sub(l.At)
+	if a > change.TrustTime {
+		return ""
+	}
+	return strconv.FormatInt(max(0, a.Milliseconds())+1, 10) // rounded up
+}
+
+// Confirmed implements caller.Daemon. The age counts from when the request was
+// sent: how long its answer was on the way is not known.
+func (d *Daemon) Confirmed(release, age string, t time.Time) {
+	v := d.View()
+	ms, err := strconv.ParseUint(age, 10, 32)
+	if err != nil || !d.managed() || release != v.Release() {
+		return // it says nothing of what is served here
 	}
+	d.confirm(change.Confirmation{Number: v.Snapshot.Number(), At: t.Add(-time.Duration(ms) * time.Millisecond)})
 }
 
 // errManaged refuses submissions where the configuration comes from elsewhere.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"figwheel/caller"
+	"figwheel/change"
 	"figwheel/event"
 	"figwheel/metric"
 	"figwheel/peer"
@@ -58,7 +59,8 @@
 	worker   upstream.Worker
 	view     atomic.Pointer[caller.View]
 	closing  atomic.Bool
-	notReady atomic.Int64 // times that somebody was told so
+	latest   atomic.Pointer[change.Confirmation] // the newest; nil without one
+	notReady atomic.Int64                        // times that somebody was told so
 	requests chan func(*control)
 	lost     chan upstream.Announcement // of a worker that takes no connections
 	stopped  chan struct{}
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -25,10 +25,11 @@
 func (c *control) exchange(name, address string, incarnation uint64) {
 	q := c.exchangeRequest()
 	t := exchangeTime * time.Duration(c.table.Patience())
+	sent := c.d.now()
 	c.start(func(x context.Context) {
 		p, err := c.d.ask(x, t, address, q)
 		if err == nil {
-			_ = c.d.do(x, func(c *control) { c.exchanged(name, address, p) })
+			_ = c.d.do(x, func(c *control) { c.exchanged(name, address, p, sent) })
 			return
 		}
 		if incarnation > 0 && !c.d.probeIndirectly(x, t, name, address) {
@@ -93,9 +94,10 @@
 // joined tells whether this daemon knows any other.
 func (c *control) joined() bool { return c.table.Count() > 1 }
 
-// told takes in the head that the daemon at the address told of.
-func (c *control) told(h change.Head, age uint32, address string) {
-	c.confirmed(h, age, c.d.now())
+// told takes in the head that the daemon at the address told of, and the age
+// that its confirmation had at the time t.
+func (c *control) told(h change.Head, age uint32, address string, t time.Time) {
+	c.confirmed(h, age, t)
 	if h.Sequence <= c.known.Head.Sequence {
 		return
 	}
@@ -103,7 +105,7 @@
 	if c.observe(h) {
 		c.eager = true
 	}
-	c.confirmed(h, age, c.d.now())
+	c.confirmed(h, age, t)
 	c.newsFrom = ""
 }
 
@@ -113,13 +115,15 @@
 	}
 }
 
-func (c *control) exchanged(name, address string, p *peerpb.ExchangeResponse) {
+// exchanged takes in the answer to a request that was sent at that time: how
+// long it was on the way is not known.
+func (c *control) exchanged(name, address string, p *peerpb.ExchangeResponse, sent time.Time) {
 	c.table.Answered()
 	c.absorb(peer.ToRecords(p.GetNews()))
 	if name != "" {
 		c.answered[name] = true
 	}
-	c.told(peer.ToHead(p.GetHead()), p.GetHeadAgeMs(), address)
+	c.told(peer.ToHead(p.GetHead()), p.GetHeadAgeMs(), address, sent)
 	if p.GetDigest() != c.table.Digest() {
 		c.repair(address)
 	}
@@ -200,7 +204,7 @@
 	if r, _, ok := c.table.Get(q.GetFrom()); ok {
 		from = r.PeerAddress
 	}
-	c.told(peer.ToHead(q.GetHead()), q.GetHeadAgeMs(), from)
+	c.told(peer.ToHead(q.GetHead()), q.GetHeadAgeMs(), from, c.d.now())
 	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.known.Head), HeadAgeMs: c.headAge(c.d.now())}
 	if q.GetFull() {
 		p.News = peer.FromRecords(c.table.All())
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"figwheel/caller"
 	"figwheel/change"
 	"figwheel/result"
 	"figwheel/site"
@@ -218,3 +219,43 @@
 		t.Errorf("fetched %d bytes, want %d: %v", len(b), len(d), err)
 	}
 }
+
+// TestConfirmedByCalls hands over what answers to calls tell: only of the release
+// that is served here, and as old as the request.
+func TestConfirmedByCalls(t *testing.T) {
+	m := newManagedFleet(t, 1)
+	m.serving(1)
+	d := m.daemons[0]
+	d.view.Store(caller.NewView(snapshotOf(t, 5), nil))
+	own, now := d.View().Release(), time.Now()
+	cases := []struct {
+		name, release, age string
+		sent               time.Duration // ago
+		want               string
+	}{
+		{"nothing was told", "", "", 0, ""},
+		{"of another release", "6-other", "10", 0, ""},
+		{"no number", own, "young", 0, ""},
+		{"by an answer that took long", own, "700", 400 * time.Millisecond, "1101"},
+		{"an older one", own, "1200", 0, "1101"},
+		{"a younger one", own, "200", 100 * time.Millisecond, "301"},
+	}
+	for _, c := range cases {
+		d.Confirmed(c.release, c.age, now.Add(-c.sent))
+		if a := d.Age(now); a != c.want {
+			t.Errorf("%s: the age is %q, want %q", c.name, a, c.want)
+		}
+	}
+	if a := d.Age(now.Add(change.TrustTime)); a != "" {
+		t.Errorf("one that is not trusted any more is told: %s", a)
+	}
+}
+
+func snapshotOf(t *testing.T, number uint64) *site.Snapshot {
+	t.Helper()
+	s, err := site.Table{Number: number}.Snapshot("site-0", number, "hash")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -43,6 +43,7 @@
 	Begun   bool
 	Release string // of the daemon that answered
 	Load    string // of the daemon that answered
+	Age     string // of that release's confirmation, as it told
 }
 
 // OK tells whether the answer was passed on whole.
@@ -99,6 +100,7 @@
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
 		f.Load = p.Header.Get(contract.LoadHeader)
+		f.Age = p.Header.Get(contract.AgeHeader)
 		if c := p.Header.Get(contract.CodeHeader); c != "" {
 			f.Outcome = contract.ParseOutcome(p.Header.Get(contract.OutcomeHeader))
 			f.Code = parseCode(c)
