--- a/daemon/control.go
+++ b/daemon/control.go
@@ -52,6 +52,7 @@
 
 	serving  *site.Snapshot
 	contents map[string]*content
+	earlier  []*content // dropped ones, the oldest first
 	fetching map[string]bool
 
 	platformUp  bool // the control objects were read from the platform
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -180,9 +180,10 @@
 	config  compiled
 	refusal *result.Error
 
-	// compressed returns the data as peers fetch it. It is made once: a herd of
-	// peers that each cost a compressor of its own would take megabytes.
+	// What peers fetch is made once: a herd of them that each cost a compressor
+	// of its own would take megabytes.
 	compressed func() ([]byte, error)
+	deltas     sync.Map // of func() ([]byte, error), by the hash of the base
 }
 
 func newContent(hash string, data []byte) *content {
@@ -193,6 +194,15 @@
 	}
 }
 
+// delta returns the data compressed against those of the base.
+func (k *content) delta(base *content) ([]byte, error) {
+	f, ok := k.deltas.Load(base.hash)
+	if !ok {
+		f, _ = k.deltas.LoadOrStore(base.hash, sync.OnceValues(func() ([]byte, error) { return store.Compress(k.data, base.data) }))
+	}
+	return f.(func() ([]byte, error))()
+}
+
 // pause waits for t or the end of x and tells whether x goes on.
 func pause(x context.Context, t time.Duration) bool {
 	k := time.NewTimer(t)
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -225,13 +225,21 @@
 
 // Fetch implements peerpb.PeerServiceHandler.
 func (d *Daemon) Fetch(x context.Context, q *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
-	var k *content
-	if err := d.do(x, func(c *control) { k = c.contents[q.GetContent()] }); err != nil {
+	var k, b *content
+	err := d.do(x, func(c *control) {
+		k = c.stored(q.GetContent())
+		b = c.stored(q.GetBase())
+	})
+	if err != nil {
 		return nil, err
 	}
 	if k == nil {
 		return &peerpb.FetchResponse{}, nil
 	}
+	if b != nil {
+		z, err := k.delta(b)
+		return &peerpb.FetchResponse{Compressed: z, Delta: true}, err
+	}
 	z, err := k.compressed()
 	return &peerpb.FetchResponse{Compressed: z}, err
 }
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"figwheel/change"
@@ -97,15 +98,39 @@
 	}
 }
 
-// prune drops the contents that nobody may ask for any more.
+// earlierMax is how many contents that were served before are kept, by which
+// newer ones are said to those that still serve them. Changes that follow each
+// other closely find daemons some versions behind.
+const earlierMax = 4
+
+// prune drops the contents that nobody may ask for any more. Of those that were
+// served before it keeps the bytes of the last ones.
 func (c *control) prune() {
-	for h := range c.contents {
-		if !c.known.Keeps(h) {
-			delete(c.contents, h)
+	for h, k := range c.contents {
+		if c.known.Keeps(h) {
+			continue
 		}
+		delete(c.contents, h)
+		c.earlier = append(c.earlier, newContent(h, k.data))
+	}
+	if n := len(c.earlier) - earlierMax; n > 0 {
+		c.earlier = slices.Delete(c.earlier, 0, n)
 	}
 }
 
+// stored returns the content of that hash as peers may ask for it, or nil.
+func (c *control) stored(hash string) *content {
+	if k := c.contents[hash]; k != nil {
+		return k
+	}
+	for _, k := range c.earlier {
+		if k.hash == hash {
+			return k
+		}
+	}
+	return nil
+}
+
 // want fetches a content in the background unless it is here or on its way.
 // With later it leaves a delivery the time to bring it: everybody asking as
 // soon as news of a proposal is about would be a herd.
@@ -219,12 +244,7 @@
 	}
 	var base []byte
 	if h := q.GetDeltaBase(); h != "" {
-		_ = d.do(x, func(c *control) {
-			if k := c.contents[h]; k != nil {
-				base = k.data
-			}
-		})
-		if base == nil {
+		if base = d.bytesOf(x, h); base == nil {
 			return nil, false
 		}
 	}
@@ -232,14 +252,35 @@
 	return b, err == nil
 }
 
+// bytesOf returns the bytes of a content that is here, nil otherwise.
+func (d *Daemon) bytesOf(x context.Context, hash string) []byte {
+	var b []byte
+	_ = d.do(x, func(c *control) {
+		if k := c.stored(hash); k != nil {
+			b = k.data
+		}
+	})
+	return b
+}
+
 func (d *Daemon) fromPeer(x context.Context, address, hash string) ([]byte, bool) {
 	x, stop := context.WithTimeout(x, exchangeTime)
 	defer stop()
-	z, err := d.peers.Fetch(x, address, hash)
+	var base string
+	if s := d.View().Snapshot; s != nil {
+		base = s.Content()
+	}
+	z, delta, err := d.peers.Fetch(x, address, hash, base)
 	if err != nil || len(z) == 0 {
 		return nil, false
 	}
-	b, err := store.Verified(z, nil, hash)
+	var o []byte
+	if delta {
+		if o = d.bytesOf(x, base); o == nil {
+			return nil, false
+		}
+	}
+	b, err := store.Verified(z, o, hash)
 	return b, err == nil
 }
 
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -259,3 +259,41 @@
 	}
 	return s
 }
+
+// TestFetchByDelta asks one daemon for the newest of some configurations: with
+// one of the last it says what changed, otherwise all of it.
+func TestFetchByDelta(t *testing.T) {
+	const last = 3 + earlierMax
+	m := newManagedFleet(t, 2)
+	m.serving(1)
+	hashes := []string{m.daemons[0].View().Snapshot.Content()}
+	for n := uint64(2); n <= last; n++ {
+		m.write(n)
+		m.serving(n)
+		hashes = append(hashes, m.daemons[0].View().Snapshot.Content())
+	}
+	newest := hashes[last-1]
+	cases := []struct {
+		name, base string
+		delta      bool
+	}{
+		{"nothing", "", false},
+		{"the one before", hashes[last-2], true},
+		{"the oldest that is kept", hashes[last-1-earlierMax], true},
+		{"one that is too old", hashes[0], false},
+	}
+	for _, c := range cases {
+		z, delta, err := m.daemons[1].peers.Fetch(context.Background(), m.daemons[0].Settings().PeerAddress, newest, c.base)
+		if err != nil || delta != c.delta {
+			t.Errorf("%s: delta %t, %v", c.name, delta, err)
+			continue
+		}
+		var base []byte
+		if delta {
+			base = m.daemons[1].bytesOf(context.Background(), c.base)
+		}
+		if _, err := store.Verified(z, base, newest); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -61,13 +61,14 @@
 	return c.at(address).Exchange(x, q)
 }
 
-// Fetch returns a compressed content of the daemon at the address.
-func (c *Client) Fetch(x context.Context, address, content string) ([]byte, error) {
-	p, err := c.at(address).Fetch(x, &peerpb.FetchRequest{Content: content})
+// Fetch returns a content of the daemon at the address, compressed, and whether
+// against the base, which the caller has and may leave empty.
+func (c *Client) Fetch(x context.Context, address, content, base string) (compressed []byte, delta bool, err error) {
+	p, err := c.at(address).Fetch(x, &peerpb.FetchRequest{Content: content, Base: base})
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return p.GetCompressed(), nil
+	return p.GetCompressed(), p.GetDelta(), nil
 }
 
 // NewHandler returns the path and the handler of the service s.
