Idle daemons ask those that read for a younger confirmation; differences are handed on

Cause: while no calls carry confirmations, as in the 10 s before traffic, probes alone cross the fleet too slowly and daemons read the store: 50 reads in 4 s of 24 idle daemons, where 18 are paced (TestIdleFleetReads, fails before, passes after).

--- a/change/poll.go
+++ b/change/poll.go
@@ -27,6 +27,13 @@
 	// for itself: then those that should have told it are gone or cut off.
 	TrustTime = 1250 * time.Millisecond
 
+	// AskTime is the age above which a daemon asks another for a younger one: a
+	// read of the store costs more than a message, and waits until nobody knows.
+	AskTime = 800 * time.Millisecond
+	// askedBy is how many daemons ask one of the first. Those ask the ones that
+	// read, and do so earlier.
+	askedBy = 16
+
 	// storeShare is what all daemons together may read a second when none of
 	// them is confirmed, far below the rate of the store.
 	storeShare  = 100
@@ -90,3 +97,22 @@
 	}
 	return now.Sub(p.read) >= time.Duration(wait)
 }
+
+// Ask returns among how many of the first by rank to ask one for a younger
+// confirmation at now, 0 for not at all. It answers a fleet whose calls are too
+// few to carry confirmations about: no daemon is asked by all others.
+func (p *Poll) Ask(now time.Time, rank, live int) int {
+	first := max(Pollers, live/askedBy)
+	age := now.Sub(p.confirmed)
+	switch {
+	case rank >= 0 && rank < Pollers:
+		return 0
+	case rank >= 0 && rank < first:
+		if age >= AskTime/2 {
+			return Pollers
+		}
+	case age >= AskTime:
+		return first
+	}
+	return 0
+}
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -16,6 +16,9 @@
 // configTime bounds one read of the configuration.
 const configTime = time.Second
 
+// configKey orders the daemons by who reads the configuration.
+const configKey = "config"
+
 // tendConfig reads the platform's configuration when it is this daemon's turn.
 func (c *control) tendConfig(now time.Time) {
 	if !c.d.managed() || c.polling {
@@ -24,8 +27,13 @@
 	if l := c.d.latest.Load(); l != nil && l.Number == c.known.Head.Sequence {
 		c.poll.Confirm(l.At) // calls carry it faster than membership does
 	}
-	s := c.table.Self()
-	if !c.poll.Due(now, c.table.Rank("", "config", s.Name), c.table.Count(), c.pollJitter) {
+	rank, live := c.table.Rank("", configKey, c.table.Self().Name), c.table.Count()
+	if n := c.poll.Ask(now, rank, live); n > 0 {
+		if r, ok := c.table.First(configKey, c.random.IntN(n)); ok && r.Name != c.d.settings.Instance {
+			c.exchange(r.Name, r.PeerAddress, r.Incarnation)
+		}
+	}
+	if !c.poll.Due(now, rank, live, c.pollJitter) {
 		return
 	}
 	c.polling = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -194,6 +194,20 @@
 	}
 }
 
+// keep hands on what was fetched as it came, without a compressor of its own.
+// It is called before others know of k.
+func (k *content) keep(f fetched) {
+	if len(f.packed) == 0 {
+		return
+	}
+	packed := func() ([]byte, error) { return f.packed, nil }
+	if f.base == "" {
+		k.compressed = packed
+		return
+	}
+	k.deltas.Store(f.base, packed)
+}
+
 // delta returns the data compressed against those of the base.
 func (k *content) delta(base *content) ([]byte, error) {
 	f, ok := k.deltas.Load(base.hash)
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -171,7 +171,7 @@
 	// A delta is here already. It must not wait for a slower way that another
 	// request for the same content has taken.
 	if b, ok := d.byDelta(y, hash, q); ok {
-		return d.install(y, hash, b)
+		return d.install(y, hash, fetched{data: b})
 	}
 	v, err, _ := d.contents.Do(hash, func() (any, error) { return d.fetch(y, hash, from) })
 	if err != nil {
@@ -180,26 +180,35 @@
 	return v.(*content), nil
 }
 
+// fetched is a content as it came: packed, compressed against the base that it
+// names, or as a whole where that is empty. Both may be missing.
+type fetched struct {
+	data   []byte
+	packed []byte
+	base   string
+}
+
 func (d *Daemon) fetch(x context.Context, hash, from string) (*content, error) {
-	b, ok := d.fromPeers(x, hash, from)
+	f, ok := d.fromPeers(x, hash, from)
 	if !ok && d.managed() {
 		return nil, result.New(result.ContentMissing, "no peer has content %s; the next read of the platform brings it or a newer one", hash)
 	}
 	if !ok {
-		p, err := store.GetContent(x, d.store, hash)
+		b, err := store.GetContent(x, d.store, hash)
 		_ = d.do(x, func(c *control) { c.platformAnswered(err) })
 		if err != nil {
 			return nil, err
 		}
-		b = p
+		f.data = b
 	}
-	return d.install(x, hash, b)
+	return d.install(x, hash, f)
 }
 
 // install compiles a content and hands it to the control goroutine.
-func (d *Daemon) install(x context.Context, hash string, b []byte) (*content, error) {
-	k := d.compile(hash, b)
-	d.event(x, event.ContentFetched, slog.String("Content", hash), slog.Int("Bytes", len(b)))
+func (d *Daemon) install(x context.Context, hash string, f fetched) (*content, error) {
+	k := d.compile(hash, f.data)
+	k.keep(f)
+	d.event(x, event.ContentFetched, slog.String("Content", hash), slog.Int("Bytes", len(f.data)))
 	if k.refusal != nil {
 		d.event(x, event.CannotStage, slog.String("Content", hash), slog.String("Cause", k.refusal.Error()))
 	} else {
@@ -213,10 +222,10 @@
 
 // fromPeers asks the daemon at the address from, then a few others some times:
 // content spreads among peers within a round trip or two.
-func (d *Daemon) fromPeers(x context.Context, hash, from string) ([]byte, bool) {
+func (d *Daemon) fromPeers(x context.Context, hash, from string) (fetched, bool) {
 	if from != "" {
-		if b, ok := d.fromPeer(x, from, hash); ok {
-			return b, true
+		if f, ok := d.fromPeer(x, from, hash); ok {
+			return f, true
 		}
 	}
 	for range fetchRounds {
@@ -227,15 +236,15 @@
 			}
 		})
 		for _, a := range near {
-			if b, ok := d.fromPeer(x, a, hash); ok {
-				return b, true
+			if f, ok := d.fromPeer(x, a, hash); ok {
+				return f, true
 			}
 		}
 		if len(near) == 0 || !pause(x, fetchWait) {
 			break
 		}
 	}
-	return nil, false
+	return fetched{}, false
 }
 
 func (d *Daemon) byDelta(x context.Context, hash string, q *peerpb.DeliverRequest) ([]byte, bool) {
@@ -263,25 +272,26 @@
 	return b
 }
 
-func (d *Daemon) fromPeer(x context.Context, address, hash string) ([]byte, bool) {
+func (d *Daemon) fromPeer(x context.Context, address, hash string) (fetched, bool) {
 	x, stop := context.WithTimeout(x, exchangeTime)
 	defer stop()
-	var base string
+	var f fetched
 	if s := d.View().Snapshot; s != nil {
-		base = s.Content()
+		f.base = s.Content()
 	}
-	z, delta, err := d.peers.Fetch(x, address, hash, base)
+	z, delta, err := d.peers.Fetch(x, address, hash, f.base)
 	if err != nil || len(z) == 0 {
-		return nil, false
+		return f, false
 	}
 	var o []byte
-	if delta {
-		if o = d.bytesOf(x, base); o == nil {
-			return nil, false
-		}
-	}
-	b, err := store.Verified(z, o, hash)
-	return b, err == nil
+	if !delta {
+		f.base = ""
+	} else if o = d.bytesOf(x, f.base); o == nil {
+		return f, false
+	}
+	f.packed = z
+	f.data, err = store.Verified(z, o, hash)
+	return f, err == nil
 }
 
 // compile checks a content for this site. Every instance does that itself: a
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -297,3 +297,24 @@
 		}
 	}
 }
+
+// TestIdleFleetReads counts the reads of a fleet that no calls go through: those
+// of the ones that read at a pace, and hardly any more.
+func TestIdleFleetReads(t *testing.T) {
+	const span = 4 * time.Second
+	m := newManagedFleet(t, 24)
+	m.serving(1)
+	m.agree()
+	sum := func() (n int64) {
+		for _, r := range m.reads {
+			n += r.Load()
+		}
+		return n
+	}
+	before := sum()
+	time.Sleep(span) // the time over which reads are counted
+	paced := int64(change.Pollers * (span/change.PollTime + 1))
+	if n := sum() - before; n > 2*paced {
+		t.Errorf("%d reads within %s, where %d are paced", n, span, paced)
+	}
+}
--- a/daemon/submit.go
+++ b/daemon/submit.go
@@ -138,7 +138,7 @@
 		return change.Head{}, err
 	}
 	t := &draft{submission: s, data: b, hash: site.Hash(b), config: f, on: s.on, read: s.on > 0}
-	if _, err := d.install(x, t.hash, b); err != nil {
+	if _, err := d.install(x, t.hash, fetched{data: b}); err != nil {
 		return change.Head{}, err
 	}
 	r := d.random()
--- a/instance/table.go
+++ b/instance/table.go
@@ -360,4 +360,22 @@
 	return rank
 }
 
+// First returns the live instance of that place when all are ordered by
+// rendezvous hashing of key, as Rank counts; false if there are not as many.
+func (t *Table) First(key string, rank int) (Record, bool) {
+	var l []Record
+	for _, e := range t.entries {
+		if e.record.Live() {
+			l = append(l, e.record)
+		}
+	}
+	if rank < 0 || rank >= len(l) {
+		return Record{}, false
+	}
+	slices.SortFunc(l, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(weight(key, b.Name), weight(key, a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return l[rank], true
+}
+
 func weight(key, name string) uint64 { return xxh3.HashStringSeed(name, xxh3.HashString(key)) }
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -223,3 +223,18 @@
 		}
 	}
 }
+
+// TestFirst checks that the places by First are those that Rank tells.
+func TestFirst(t *testing.T) {
+	tb := instance.New(instance.Record{Name: "a"}, time.Time{})
+	tb.Merge([]instance.Record{{Name: "b"}, {Name: "c"}, {Name: "d", State: instance.Left}}, time.Time{})
+	for i := range 3 {
+		r, ok := tb.First("key", i)
+		if n := tb.Rank("", "key", r.Name); !ok || n != i {
+			t.Errorf("place %d: %s, whose rank is %d", i, r.Name, n)
+		}
+	}
+	if r, ok := tb.First("key", 3); ok {
+		t.Errorf("a fourth of three: %v", r)
+	}
+}
