--- a/peer/client.go
+++ b/peer/client.go
@@ -26,7 +26,10 @@
 )
 
 // Client calls other daemons by their peer address.
-type Client struct{ http *http.Client }
+type Client struct {
+	http    *http.Client
+	service peerpb.PeerServiceClient // of whichever daemon the context names
+}
 
 // Dial opens a connection, as net.Dialer.DialContext does.
 type Dial func(x context.Context, network, address string) (net.Conn, error)
@@ -41,30 +44,51 @@
 	t.DialContext = m.Dial(d)
 	t.MaxIdleConnsPerHost = idlePerAddress
 	t.MaxIdleConns = idleAll
-	return &Client{&http.Client{Transport: t}}
+	h := &http.Client{Transport: t}
+	return &Client{h, peerpb.NewPeerServiceClient(addressed{h}, "http://"+anyPeer, connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin))}
 }
 
 // Close drops the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-func (c *Client) at(address string) peerpb.PeerServiceClient {
-	return peerpb.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin))
+// anyPeer stands for the host where the address is in the context.
+const anyPeer = "peer"
+
+type addressKey struct{}
+
+// addressed sends each request to the address in its context, so that one
+// client serves all peers: setting one up for each call costs more than the call.
+type addressed struct{ http *http.Client }
+
+// Do implements connect.HTTPClient.
+func (a addressed) Do(q *http.Request) (*http.Response, error) {
+	if s, ok := q.Context().Value(addressKey{}).(string); ok {
+		u := *q.URL
+		u.Host = s
+		q.URL = &u
+		q.Host = s
+	}
+	return a.http.Do(q)
+}
+
+func to(x context.Context, address string) context.Context {
+	return context.WithValue(x, addressKey{}, address)
 }
 
 // Deliver carries a head to the daemon at the address and the tree below it.
 func (c *Client) Deliver(x context.Context, address string, q *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
-	return c.at(address).Deliver(x, q)
+	return c.service.Deliver(to(x, address), q)
 }
 
 // Exchange swaps membership news with the daemon at the address.
 func (c *Client) Exchange(x context.Context, address string, q *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	return c.at(address).Exchange(x, q)
+	return c.service.Exchange(to(x, address), q)
 }
 
 // Fetch returns a content of the daemon at the address, compressed, and whether
 // against the base, which the caller has and may leave empty.
 func (c *Client) Fetch(x context.Context, address, content, base string) (compressed []byte, delta bool, err error) {
-	p, err := c.at(address).Fetch(x, &peerpb.FetchRequest{Content: content, Base: base})
+	p, err := c.service.Fetch(to(x, address), &peerpb.FetchRequest{Content: content, Base: base})
 	if err != nil {
 		return nil, false, err
 	}
