Requests that crash the workers that run them are recognised and refused

Cause: a request that crashed its worker was sent to the next one each time that it came again; nothing remembered it. Now the daemon beside a worker that crashed suspects what was there, and suspects it one level more if it was suspected when it was sent. Two crashes one after the other refuse it (FW3019); two at one moment count once, a whole answer clears it, and news of it travels with the probes. A worker that breaks off is probed at once, or its crash is known too late. TestPoison: 12 requests reached 3 workers without the probe, 2 with it; TestWatch, TestLevels, TestPoisonCleared.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -194,13 +195,23 @@
 	})
 }
 
+// refusing returns an address that takes no connections until the test ends: it
+// is bound, so that nobody else gets it, and not listened on.
 func refusing(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", a.(*syscall.SockaddrInet4).Port)
 }
 
 // TestFailures brings about every way in which a worker fails a call and
--- a/caller/decision.go
+++ b/caller/decision.go
@@ -6,6 +6,7 @@
 
 	"figwheel/contract"
 	"figwheel/hop"
+	"figwheel/poison"
 	"figwheel/result"
 )
 
@@ -61,6 +62,9 @@
 	if f.Outcome != contract.NotRun {
 		return 0
 	}
+	if f.Code == result.CrashesWorkers {
+		return poison.KeepTime
+	}
 	low := retryAfterMin
 	if f.Code == result.Overloaded {
 		low = max(low, c.view.Candidates[c.service.Name].Hold(h.Now())/2)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -11,6 +11,7 @@
 	"figwheel/contract"
 	"figwheel/hop"
 	"figwheel/link"
+	"figwheel/poison"
 	"figwheel/result"
 	"figwheel/site"
 	"figwheel/upstream"
@@ -28,6 +29,10 @@
 	// waitsMax is how many daemons may refuse to let it wait: the others are
 	// fuller, and each ask costs both sides time that an overload needs.
 	waitsMax = 2
+	// attemptMin is the time without which another attempt is of no use. Each
+	// daemon rounds the time left down to milliseconds, so that one may end just
+	// before the deadline.
+	attemptMin = 3 * time.Millisecond
 	// verdictTime is how much longer than the deadline the next daemon is
 	// waited for: its word that the request was not run is worth having.
 	verdictTime = 60 * time.Millisecond
@@ -84,6 +89,7 @@
 	sent     int      // workers that it was sent to
 	again    bool     // another attempt may run it again
 	unknown  bool     // an attempt left open whether it ran
+	crashes  int      // workers that did not answer it
 }
 
 // ServeHTTP implements http.Handler.
@@ -159,6 +165,9 @@
 	if err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
+	if h.crashes(c, r) {
+		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
+	}
 	c.deadline = d
 	c.ask = upstream.Ask{Kind: c.route.Name, Rank: c.route.Rank, Deadline: d}
 	if c.route.Goal > 0 {
@@ -182,6 +191,15 @@
 	return h.attempts(x, w, r, c)
 }
 
+// crashes tells whether the request is known to crash workers.
+func (h *Handler) crashes(c *call, r *http.Request) bool {
+	l := c.view.Suspects
+	if l.Empty() {
+		return false
+	}
+	return l.Level(upstream.Request{Origin: h.Origin, Body: c.body}.Fingerprint(r)) >= poison.RefuseLevel
+}
+
 // repeats tells whether the request may run more than once.
 func (c *call) repeats(r *http.Request) bool {
 	switch c.route.Repeat {
@@ -229,7 +247,10 @@
 
 // another decides whether to try another instance after f.
 func (h *Handler) another(c *call, f hop.Result, b *contract.Budget, l link.Candidates) bool {
-	if !contract.MayRetry(f.Outcome, c.again) || !c.body.Replayable() || !h.Now().Before(c.deadline) {
+	if c.crashes >= poison.RefuseLevel || !contract.MayRetry(f.Outcome, c.again) || !c.body.Replayable() {
+		return false
+	}
+	if c.deadline.Sub(h.Now()) < attemptMin {
 		return false
 	}
 	if !contract.Reached(f.Code, f.Outcome) {
@@ -263,8 +284,9 @@
 	if k.Local {
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
-		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now})
+		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now, Suspects: c.view.Suspects, Crashes: c.crashes})
 		k.Peer.End(h.Worker.Load().String(), h.Now())
+		c.lost(f)
 		return f
 	}
 	sent := now
@@ -278,12 +300,23 @@
 	if f.Release != "" && f.Release != c.view.release {
 		h.Daemon.Seen(f.Release)
 	}
+	if f.Load != "" {
+		c.lost(f) // the daemon beside the worker says so, and not a broken link
+	}
 	if f.Age != "" {
 		h.Daemon.Confirmed(f.Release, f.Age, sent)
 	}
 	return f
 }
 
+// lost counts the workers that broke off without an answer: the request may have
+// crashed them.
+func (c *call) lost(f hop.Result) {
+	if f.Code == result.AnswerLost {
+		c.crashes++
+	}
+}
+
 // avoidTime is how long an instance whose daemon did not answer is avoided;
 // by then the others have found out what became of it.
 const avoidTime = 2 * time.Second
@@ -295,6 +328,9 @@
 	if !c.ask.Goal.IsZero() {
 		l = append(l, hop.Field{Name: contract.GoalHeader, Value: contract.Remaining(now, c.ask.Goal)})
 	}
+	if c.crashes > 0 {
+		l = append(l, hop.Field{Name: contract.CrashesHeader, Value: strconv.Itoa(c.crashes)})
+	}
 	if c.ask.NoWait {
 		l = append(l, hop.Field{Name: contract.QueueHeader, Value: "no"})
 	}
--- a/caller/view.go
+++ b/caller/view.go
@@ -5,6 +5,7 @@
 
 	"figwheel/contract"
 	"figwheel/link"
+	"figwheel/poison"
 	"figwheel/settings"
 	"figwheel/site"
 )
@@ -15,6 +16,7 @@
 	Snapshot   *site.Snapshot
 	Candidates map[string]link.Candidates // by service
 	Retries    contract.Retries           // of a service that does not say itself
+	Suspects   poison.List                // requests that crash workers
 	release    string
 	version    string
 }
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -56,6 +56,7 @@
 	GoalHeader    = "Figwheel-Goal-Ms" // time left in which an answer is worth most
 	KindHeader    = "Figwheel-Kind"    // of requests that take about the same time: the route
 	OriginHeader  = "Figwheel-Origin"
+	CrashesHeader = "Figwheel-Crashes" // workers that it was sent to before and that did not answer
 
 	HeaderPrefix = "Figwheel-"
 )
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -13,6 +13,7 @@
 	"figwheel/event"
 	"figwheel/instance"
 	"figwheel/link"
+	"figwheel/poison"
 	"figwheel/result"
 	"figwheel/settings"
 	"figwheel/site"
@@ -79,6 +80,9 @@
 	dirty    bool
 	changed  chan struct{}
 
+	suspects       poison.List // requests that crash workers
+	suspectRepeats map[poison.Fingerprint]int
+
 	running int
 	ended   chan struct{}
 }
@@ -108,6 +112,8 @@
 		reachable: true,
 		changed:   make(chan struct{}),
 		ended:     make(chan struct{}),
+
+		suspectRepeats: make(map[poison.Fingerprint]int),
 	}
 }
 
@@ -135,6 +141,11 @@
 			c.spreadNews()
 		case a := <-c.d.lost:
 			c.workerUnreachable(a, c.d.now())
+		case f := <-c.d.innocent:
+			if s, ok := c.suspects.Get(f); ok {
+				s.Cleared = true
+				c.suspect([]poison.Suspect{s}, "answered")
+			}
 		case <-c.ended:
 			c.running--
 		}
@@ -163,6 +174,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.lapse(now)
+	c.suspects = c.suspects.Recent(now)
 	for _, r := range c.table.Expire(now) {
 		c.d.event(c.x, event.InstanceDead, slog.String("Name", r.Name), slog.String("Site", r.Site))
 		c.news()
@@ -211,6 +223,7 @@
 		return
 	}
 	c.d.event(c.x, event.WorkerLost, slog.String("Service", c.announcement.Service), slog.String("ID", c.announcement.ID), slog.String("Cause", cause), slog.Duration("SilentFor", now.Sub(c.announced)))
+	c.workerCrashed(now, cause)
 	c.announcement.State = instance.Left.String()
 	c.describe(now)
 }
@@ -223,6 +236,9 @@
 		return err
 	}
 	o := c.announcement
+	if o.State == instance.Ready.String() && (a.ID != o.ID || a.Born > o.Born) {
+		c.workerCrashed(now, "started again") // it never said that it leaves
+	}
 	c.announcement = a
 	c.announced = now
 	if a.ID != o.ID || a.State != o.State || a.Service != o.Service || a.Address != o.Address || a.Slots != o.Slots {
@@ -297,6 +313,7 @@
 		m[n] = link.NewCandidates(v)
 	}
 	v := caller.NewView(c.serving, m)
+	v.Suspects = c.suspects
 	v.Retries = contract.Retries{Percent: cmp.Or(c.settings.RetryPercent, settings.RetryPercentDefault), Burst: c.retryBurst()}
 	c.d.view.Store(v)
 	close(c.changed)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"figwheel/event"
 	"figwheel/metric"
 	"figwheel/peer"
+	"figwheel/poison"
 	"figwheel/result"
 	"figwheel/settings"
 	"figwheel/site"
@@ -63,6 +64,7 @@
 	notReady atomic.Int64                        // times that somebody was told so
 	requests chan func(*control)
 	lost     chan upstream.Announcement // of a worker that takes no connections
+	innocent chan poison.Fingerprint    // of a suspected request that a worker answered
 	stopped  chan struct{}
 	killed   chan struct{}
 	contents singleflight.Group
@@ -86,6 +88,7 @@
 		seed:     o.Seed,
 		requests: make(chan func(*control)),
 		lost:     make(chan upstream.Announcement, 1),
+		innocent: make(chan poison.Fingerprint, 1),
 		stopped:  make(chan struct{}),
 		killed:   make(chan struct{}),
 	}
@@ -102,6 +105,7 @@
 	d.worker.Headers = d.edge.Headers
 	d.worker.HoldBack = d.edge.HoldBack
 	d.worker.Unreachable = d.unreachable
+	d.worker.Cleared = d.cleared
 	d.peers = peer.NewClient(&d.meter, o.Dial)
 	d.view.Store(caller.NewView(nil, nil))
 	m, err := metric.New(metric.Gauges{
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -35,7 +35,7 @@
 	calls   atomic.Int64
 }
 
-func newDrained(t *testing.T) *drained {
+func newDrained(t *testing.T, with func(k *upstreamtest.Worker)) *drained {
 	d := &drained{fleet: &fleet{t: t, store: &platformtest.Store{}}, ended: make(chan error, 3)}
 	d.startAll(1, 3)
 	for i := range 3 {
@@ -44,6 +44,9 @@
 			t.Fatal(err)
 		}
 		k := &upstreamtest.Worker{Service: "s", Slots: 9, Work: 5 * time.Millisecond}
+		if with != nil {
+			with(k)
+		}
 		x, stop := context.WithCancel(context.Background())
 		d.workers = append(d.workers, k)
 		d.ends = append(d.ends, stop)
@@ -149,7 +152,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrained(t)
+			d := newDrained(t, nil)
 			x, stop := context.WithCancel(context.Background())
 			done := d.load(x)
 			d.wait("the worker is at work", func() bool { return d.workers[2].Peak() > 0 })
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -88,6 +88,7 @@
 		Head:      peer.FromHead(c.known.Head),
 		HeadAgeMs: c.headAge(c.d.now()),
 		News:      peer.FromRecords(l),
+		Suspects:  peer.FromSuspects(c.suspectNews()),
 	}
 }
 
@@ -120,6 +121,7 @@
 func (c *control) exchanged(name, address string, p *peerpb.ExchangeResponse, sent time.Time) {
 	c.table.Answered()
 	c.absorb(peer.ToRecords(p.GetNews()))
+	c.suspect(peer.ToSuspects(p.GetSuspects()), "")
 	if name != "" {
 		c.answered[name] = true
 	}
@@ -200,6 +202,7 @@
 
 func (c *control) answer(q *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	c.absorb(peer.ToRecords(q.GetNews()))
+	c.suspect(peer.ToSuspects(q.GetSuspects()), "")
 	var from string
 	if r, _, ok := c.table.Get(q.GetFrom()); ok {
 		from = r.PeerAddress
@@ -207,9 +210,11 @@
 	c.told(peer.ToHead(q.GetHead()), q.GetHeadAgeMs(), from, c.d.now())
 	p := &peerpb.ExchangeResponse{Digest: c.table.Digest(), Head: peer.FromHead(c.known.Head), HeadAgeMs: c.headAge(c.d.now())}
 	if q.GetFull() {
+		p.Suspects = peer.FromSuspects(c.suspects.All())
 		p.News = peer.FromRecords(c.table.All())
 		return p
 	}
+	p.Suspects = peer.FromSuspects(c.suspectNews())
 	n := c.table.News()
 	if len(q.GetBuckets()) > 0 {
 		p.Differing = c.table.Differing(q.GetBuckets())
--- a/event/event.go
+++ b/event/event.go
@@ -45,6 +45,8 @@
 	RosterWritten
 	RefutedSuspicion
 	AnnouncementRefused
+	RequestSuspected
+	RequestCleared
 )
 
 // Events of the platform.
@@ -98,6 +100,8 @@
 	{RosterWritten, "RosterWritten", slog.LevelDebug, "The roster of the site was written."},
 	{RefutedSuspicion, "RefutedSuspicion", slog.LevelInfo, "This daemon was suspected and refuted it."},
 	{AnnouncementRefused, "AnnouncementRefused", slog.LevelWarn, "A worker's announcement is older than what is known."},
+	{RequestSuspected, "RequestSuspected", slog.LevelWarn, "The worker beside this daemon crashed while it ran the request, or another's did so."},
+	{RequestCleared, "RequestCleared", slog.LevelInfo, "A worker answered a request that was suspected of crashing workers."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; what is in force stays served."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
--- a/hop/body.go
+++ b/hop/body.go
@@ -43,6 +43,14 @@
 	}, nil
 }
 
+// Kept returns the body if it was small enough to be kept, nil otherwise.
+func (b *Body) Kept() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.kept
+}
+
 // Replayable tells whether another attempt can send the whole body.
 func (b *Body) Replayable() bool { return b.stream == nil || !b.read.Load() }
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -6,6 +6,7 @@
 	"figwheel/change"
 	"figwheel/instance"
 	"figwheel/peer/peerpb"
+	"figwheel/poison"
 	"figwheel/result"
 )
 
@@ -39,6 +40,24 @@
 	return change.Release{Number: r.GetNumber(), Content: r.GetContent(), ChangeID: r.GetChangeID()}
 }
 
+// FromSuspects returns the messages for suspected requests.
+func FromSuspects(l []poison.Suspect) []*peerpb.Suspect {
+	r := make([]*peerpb.Suspect, 0, len(l))
+	for _, s := range l {
+		r = append(r, &peerpb.Suspect{Request: uint64(s.Request), Level: uint32(s.Level), Cleared: s.Cleared})
+	}
+	return r
+}
+
+// ToSuspects returns the suspected requests of messages.
+func ToSuspects(l []*peerpb.Suspect) []poison.Suspect {
+	r := make([]poison.Suspect, 0, len(l))
+	for _, s := range l {
+		r = append(r, poison.Suspect{Request: poison.Fingerprint(s.GetRequest()), Level: int(s.GetLevel()), Cleared: s.GetCleared()})
+	}
+	return r
+}
+
 // FromRecords returns the messages for records.
 func FromRecords(l []instance.Record) []*peerpb.Record {
 	r := make([]*peerpb.Record, 0, len(l))
--- a/result/code.go
+++ b/result/code.go
@@ -62,6 +62,7 @@
 	WrongInstance
 	WrongAnswer
 	RequestTooLarge
+	CrashesWorkers
 )
 
 // Codes of the platform's object API.
@@ -150,6 +151,7 @@
 	{WrongInstance, "WrongInstance", "Another worker has taken over the address; the request was not run."},
 	{WrongAnswer, "WrongAnswer", "What the worker sent is not its answer to the request, which may have run."},
 	{RequestTooLarge, "RequestTooLarge", "The body exceeds the limit of the configuration; the request was not run."},
+	{CrashesWorkers, "CrashesWorkers", "Workers crashed one after the other when the same request was sent to them; it was not run."},
 
 	{PlatformUnavailable, "PlatformUnavailable", "The platform did not take the request; nothing was written."},
 	{VersionConflict, "VersionConflict", "The object has another version than the condition names."},
--- a/upstream/upstreamtest/worker.go
+++ b/upstream/upstreamtest/worker.go
@@ -37,6 +37,13 @@
 	Slots   int
 	Work    time.Duration // spent on each request
 
+	// CrashPath makes the worker crash when a request for that path begins; it
+	// is down for DownTime then.
+	CrashPath string
+	DownTime  time.Duration
+
+	crash chan struct{} // has room for one
+
 	mu    sync.Mutex
 	runs  map[string]int
 	total int
@@ -68,6 +75,14 @@
 	id := r.Header.Get(RequestHeader)
 	k.begin(id)
 	defer k.end()
+	if k.CrashPath != "" && r.URL.Path == k.CrashPath {
+		select {
+		case k.crash <- struct{}{}:
+		default: // it crashes already
+		}
+		<-r.Context().Done() // with its connection
+		return
+	}
 	if k.Work > 0 {
 		time.Sleep(k.Work)
 	}
@@ -141,16 +156,38 @@
 // Run serves on l and announces itself at the upstream address of its daemon
 // until x ends.
 func (k *Worker) Run(x context.Context, l net.Listener, daemon string) error {
+	a := l.Addr().String()
+	k.crash = make(chan struct{}, 1)
+	for {
+		if err := k.runOnce(x, l, daemon); err != nil || x.Err() != nil {
+			return err
+		}
+		select {
+		case <-x.Done():
+			return nil
+		case <-time.After(k.DownTime):
+		}
+		var err error
+		if l, err = net.Listen("tcp", a); err != nil {
+			return workerError.Wrap(err)
+		}
+	}
+}
+
+// runOnce runs until x ends or the worker crashes.
+func (k *Worker) runOnce(x context.Context, l net.Listener, daemon string) error {
 	s := &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t := time.NewTicker(announceEvery)
 	defer t.Stop()
-	for x.Err() == nil {
+	for crashed := false; x.Err() == nil && !crashed; {
 		_ = Announce(x, daemon, k.announcement(l.Addr().String()))
 		select {
 		case <-x.Done():
 		case <-t.C:
+		case <-k.crash:
+			crashed = true
 		}
 	}
 	_ = s.Close()
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"figwheel/contract"
 	"figwheel/hop"
 	"figwheel/link"
+	"figwheel/poison"
 	"figwheel/result"
 	"figwheel/site"
 )
@@ -17,6 +19,10 @@
 const (
 	dialTime = 500 * time.Millisecond
 
+	// probeTime bounds how long a worker that broke off is probed. It stands on
+	// the same machine; the answer to its request waits for that.
+	probeTime = 100 * time.Millisecond
+
 	// lateTime is how long a worker that is leaving still gets requests from
 	// daemons that have not heard of it yet.
 	lateTime = 500 * time.Millisecond
@@ -41,9 +47,17 @@
 	// Unreachable is told that the worker takes no connections; may be nil.
 	Unreachable func(a Announcement)
 
+	// Cleared is told of a suspected request that the worker answered; may be
+	// nil.
+	Cleared func(f poison.Fingerprint)
+
 	gate     Gate
 	state    atomic.Pointer[workerState]
 	answered link.Moment // of the last answer
+
+	mu      sync.Mutex
+	crashes poison.Watch
+	broken  atomic.Bool // whether crashes has any request
 }
 
 type workerState struct {
@@ -125,6 +139,9 @@
 	Set     []hop.Field         // further headers for the worker
 	Now     func() time.Time    // for the time after the wait
 	Before  func(h http.Header) // called before an answer is begun; may be nil
+
+	Suspects poison.List // requests that crash workers
+	Crashes  int         // workers that it was sent to before and that did not answer
 }
 
 // Serve passes a request to the worker and its answer to w. The deadline is
@@ -137,6 +154,10 @@
 	if !s.takes(now) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
+	level := q.level(r)
+	if level >= poison.RefuseLevel {
+		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
+	}
 	if c := k.gate.Enter(x, now, q.Ask); c != 0 {
 		return hop.NotRun(c, "no slot of the worker became free")
 	}
@@ -152,9 +173,65 @@
 	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began)}
 	f := h.Do(x, w, r, q.Body)
 	k.note(x, s, &f, q.Now())
+	k.follow(x, s, r, q, level, f, began)
 	return f
 }
 
+// Fingerprint names the request r for workers.
+func (q Request) Fingerprint(r *http.Request) poison.Fingerprint {
+	return poison.Request{Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Origin: q.Origin, Body: q.Body.Kept()}.Fingerprint()
+}
+
+// level returns how many workers the request is known to have crashed.
+func (q Request) level(r *http.Request) int {
+	if q.Suspects.Empty() {
+		return q.Crashes
+	}
+	return max(q.Crashes, q.Suspects.Level(q.Fingerprint(r)))
+}
+
+// follow notes what the end of a request at the worker, which began at the time
+// t, says about what crashes it.
+func (k *Worker) follow(x context.Context, s *workerState, r *http.Request, q Request, level int, f hop.Result, t time.Time) {
+	switch {
+	case f.Code == result.AnswerLost && x.Err() == nil:
+		k.mu.Lock()
+		k.crashes.Broken(q.Fingerprint(r), level, q.Now())
+		k.broken.Store(true)
+		k.mu.Unlock()
+		k.probe(x, s)
+	case f.Status > 0 && k.broken.Load():
+		k.mu.Lock()
+		k.crashes.Alive(t)
+		k.mu.Unlock()
+	}
+	if f.OK() && level > 0 && k.Cleared != nil {
+		k.Cleared(q.Fingerprint(r))
+	}
+}
+
+// probe finds out whether the worker that broke off is still there: one that
+// crashed takes no connections, and must be known before its request comes again.
+func (k *Worker) probe(x context.Context, s *workerState) {
+	c, err := hop.Dialer(probeTime).DialContext(x, "tcp", s.Address)
+	if err == nil {
+		_ = c.Close()
+		return
+	}
+	if x.Err() == nil && k.Unreachable != nil {
+		k.Unreachable(s.Announcement)
+	}
+}
+
+// Crashed returns the requests that are suspected after the worker was found at
+// now to have crashed.
+func (k *Worker) Crashed(now time.Time) []poison.Suspect {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.broken.Store(false)
+	return k.crashes.Crashed(now)
+}
+
 // fields returns the headers for the worker. The time left is taken anew after
 // the wait for a slot.
 func (k *Worker) fields(x context.Context, s *workerState, q Request, now time.Time) []hop.Field {
