Routes are found by look-ups of prefixes, not by going through all

Cause: a match went through the routes of its host; a configuration that grows by many routes made each call dearer: 5566 ns at 1700 routes of one host, 78 ns now (BenchmarkMatchMany; BenchmarkMatch, two routes a host: 83 and 147 ns, on a busy machine). TestMatchRandom compares with a search through all.

--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -15,11 +15,16 @@
 	site     string
 	content  string
 	services map[string]*Service
-	byHost   map[string][]Route
-	anyHost  []Route
+	byHost   map[string]routes
+	anyHost  routes
 	limits   Limits
 }
 
+// routes are those of one host by their prefixes, each in the order in which
+// they are tried. A match costs as many look-ups as the path has segments,
+// however many routes there are.
+type routes map[string][]Route
+
 // Snapshot compiles the configuration of a site under the version number and
 // the content hash.
 func (c Configuration) Snapshot(site string, number uint64, content string) (*Snapshot, error) {
@@ -43,23 +48,32 @@
 
 // newSnapshot returns a snapshot whose routes are in the order in which they
 // are tried; of equals the one that comes first here is tried first.
-func newSnapshot(services map[string]*Service, routes []Route) *Snapshot {
-	s := &Snapshot{services: services, byHost: make(map[string][]Route)}
-	for _, r := range routes {
+func newSnapshot(services map[string]*Service, l []Route) *Snapshot {
+	s := &Snapshot{services: services, byHost: make(map[string]routes), anyHost: make(routes)}
+	for _, r := range l {
 		r.total = totalWeight(r.Targets)
-		if r.Host == "" {
-			s.anyHost = append(s.anyHost, r)
-			continue
+		m := s.anyHost
+		if r.Host != "" {
+			if m = s.byHost[r.Host]; m == nil {
+				m = make(routes)
+				s.byHost[r.Host] = m
+			}
 		}
-		s.byHost[r.Host] = append(s.byHost[r.Host], r)
+		m[r.PathPrefix] = append(m[r.PathPrefix], r)
 	}
-	for _, l := range s.byHost {
-		slices.SortStableFunc(l, Route.before)
+	for _, m := range s.byHost {
+		m.sort()
 	}
-	slices.SortStableFunc(s.anyHost, Route.before)
+	s.anyHost.sort()
 	return s
 }
 
+func (m routes) sort() {
+	for _, l := range m {
+		slices.SortStableFunc(l, Route.before)
+	}
+}
+
 // Number returns the version, 0 for a nil snapshot.
 func (s *Snapshot) Number() uint64 {
 	if s == nil {
@@ -91,28 +105,33 @@
 // Match returns the most specific route for a request.
 func (s *Snapshot) Match(r *http.Request) (*Route, bool) {
 	h := hostOnly(r.Host)
-	if t := find(s.byHost[h], r); t != nil {
+	if t := s.byHost[h].find(r); t != nil {
 		return t, true
 	}
-	t := find(s.anyHost, r)
+	t := s.anyHost.find(r)
 	return t, t != nil
 }
 
-func find(l []Route, r *http.Request) *Route {
-	for i := range l {
-		if l[i].matches(r) {
-			return &l[i]
+// find looks for the longest prefix first. A prefix ends with a segment of the
+// path: /hire is no prefix of /hires.
+func (m routes) find(r *http.Request) *Route {
+	p := r.URL.Path
+	for n := len(p); n > 0; n-- {
+		if n < len(p) && p[n-1] != '/' && p[n] != '/' {
+			continue // within a segment
+		}
+		l := m[p[:n]]
+		for i := range l {
+			if l[i].matches(r) {
+				return &l[i]
+			}
 		}
 	}
 	return nil
 }
 
-// matches compares the prefix by whole path segments: /hire is no prefix of
-// /hires.
+// matches tells whether the route takes the request, whose path has its prefix.
 func (r *Route) matches(q *http.Request) bool {
-	if !underPrefix(q.URL.Path, r.PathPrefix) {
-		return false
-	}
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, q.Method) {
 		return false
 	}
