Suspected requests: any whole answer clears them, and refusals end by themselves

Cause: many requests are the same to a worker (a lookup without a body), and two workers that crash at one moment may meet one of them and its retry; refused for minutes it could not have been cleared. An answer now clears what is suspected when it ends, not when it was sent, and a refusal lasts 30 s, twice as long at each further crash.

--- a/caller/decision.go
+++ b/caller/decision.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -63,7 +64,7 @@
 		return 0
 	}
 	if f.Code == result.CrashesWorkers {
-		return poison.KeepTime
+		return cmp.Or(c.refused, poison.RefuseTime)
 	}
 	low := retryAfterMin
 	if f.Code == result.Overloaded {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -85,11 +85,12 @@
 	set      []hop.Field // for the next daemon
 	own      []hop.Field // for the worker beside this one
 	random   *rand.Rand
-	tried    []string // instances that need not be asked again
-	sent     int      // workers that it was sent to
-	again    bool     // another attempt may run it again
-	unknown  bool     // an attempt left open whether it ran
-	crashes  int      // workers that did not answer it
+	tried    []string      // instances that need not be asked again
+	sent     int           // workers that it was sent to
+	again    bool          // another attempt may run it again
+	unknown  bool          // an attempt left open whether it ran
+	crashes  int           // workers that did not answer it
+	refused  time.Duration // for which it still is, because it crashes workers
 }
 
 // ServeHTTP implements http.Handler.
@@ -165,7 +166,7 @@
 	if err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
-	if h.crashes(c, r) {
+	if h.refuses(c, r, now) {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	c.deadline = d
@@ -191,13 +192,14 @@
 	return h.attempts(x, w, r, c)
 }
 
-// crashes tells whether the request is known to crash workers.
-func (h *Handler) crashes(c *call, r *http.Request) bool {
+// refuses tells whether the request is refused because it crashes workers.
+func (h *Handler) refuses(c *call, r *http.Request, now time.Time) bool {
 	l := c.view.Suspects
 	if l.Empty() {
 		return false
 	}
-	return l.Level(upstream.Request{Origin: h.Origin, Body: c.body}.Fingerprint(r)) >= poison.RefuseLevel
+	c.refused = l.Refuses(upstream.Request{Origin: h.Origin, Body: c.body}.Fingerprint(r), now)
+	return c.refused > 0
 }
 
 // repeats tells whether the request may run more than once.
@@ -284,7 +286,7 @@
 	if k.Local {
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
-		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now, Suspects: c.view.Suspects, Crashes: c.crashes})
+		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now, Crashes: c.crashes})
 		k.Peer.End(h.Worker.Load().String(), h.Now())
 		c.lost(f)
 		return f
--- a/caller/link.go
+++ b/caller/link.go
@@ -72,8 +72,6 @@
 		Body:    b,
 		Now:     h.Now,
 		Before:  h.addLoad,
-
-		Suspects: h.Daemon.View().Suspects,
 	}
 	q.Crashes, _ = strconv.Atoi(r.Header.Get(contract.CrashesHeader)) // most have none
 	// A rank that cannot be read is that of the least important requests.
--- a/poison/list.go
+++ b/poison/list.go
@@ -34,8 +34,11 @@
 	// RefuseLevel is the number of crashes, one after the other, from which a
 	// request is refused: once may be chance, and a third worker is one too many.
 	RefuseLevel = 2
+	// RefuseTime is how long it is refused at that level, twice as long at each
+	// further one. Then one worker may show whether it was chance after all.
+	RefuseTime = 30 * time.Second
 	// KeepTime is how long a suspicion or its clearing counts after its last news.
-	KeepTime = 5 * time.Minute
+	KeepTime = 10 * time.Minute
 	// suspectsMax bounds the requests that are remembered.
 	suspectsMax = 1024
 )
@@ -77,6 +80,19 @@
 	return 0
 }
 
+// Refuses returns for how long the request is still refused at now.
+func (l List) Refuses(f Fingerprint, now time.Time) time.Duration {
+	e := l.suspects[f]
+	if e.Cleared || e.Level < RefuseLevel {
+		return 0
+	}
+	t := KeepTime
+	if n := e.Level - RefuseLevel; n < 4 {
+		t = RefuseTime << n
+	}
+	return max(0, t-now.Sub(e.since))
+}
+
 // Get returns what is known of a request.
 func (l List) Get(f Fingerprint) (Suspect, bool) {
 	e, ok := l.suspects[f]
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -59,6 +59,12 @@
 			t.Errorf("%s: %d news, levels %d and %d", c.name, len(fresh), l.Level(bad), l.Level(beside))
 		}
 	}
+	if l.Refuses(beside, now) > 0 || l.Refuses(bad, now) != poison.RefuseTime || l.Refuses(bad, now.Add(poison.RefuseTime)) > 0 {
+		t.Errorf("refused for %s and %s", l.Refuses(bad, now), l.Refuses(beside, now))
+	}
+	if k, _ := l.With(now, s{bad, 4, false}); k.Refuses(bad, now.Add(time.Second)) != 4*poison.RefuseTime-time.Second {
+		t.Errorf("at level 4 refused for %s", k.Refuses(bad, now.Add(time.Second)))
+	}
 	if k := l.Recent(now.Add(poison.KeepTime - 1)); k.Level(bad) != 2 {
 		t.Error("forgotten too early")
 	}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -55,6 +55,8 @@
 	state    atomic.Pointer[workerState]
 	answered link.Moment // of the last answer
 
+	suspects atomic.Pointer[poison.List]
+
 	mu      sync.Mutex
 	crashes poison.Watch
 	broken  atomic.Bool // whether crashes has any request
@@ -140,8 +142,7 @@
 	Now     func() time.Time    // for the time after the wait
 	Before  func(h http.Header) // called before an answer is begun; may be nil
 
-	Suspects poison.List // requests that crash workers
-	Crashes  int         // workers that it was sent to before and that did not answer
+	Crashes int // workers that it was sent to before and that did not answer
 }
 
 // Serve passes a request to the worker and its answer to w. The deadline is
@@ -154,8 +155,8 @@
 	if !s.takes(now) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
-	level := q.level(r)
-	if level >= poison.RefuseLevel {
+	level, refused := k.level(r, q, now)
+	if refused {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	if c := k.gate.Enter(x, now, q.Ask); c != 0 {
@@ -182,12 +183,22 @@
 	return poison.Request{Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Origin: q.Origin, Body: q.Body.Kept()}.Fingerprint()
 }
 
-// level returns how many workers the request is known to have crashed.
-func (q Request) level(r *http.Request) int {
-	if q.Suspects.Empty() {
-		return q.Crashes
+// SetSuspects replaces the requests that are suspected of crashing workers.
+func (k *Worker) SetSuspects(l poison.List) { k.suspects.Store(&l) }
+
+// suspected returns what is known of the request, if anything is of any.
+func (k *Worker) suspected(r *http.Request, q Request) (l poison.List, f poison.Fingerprint) {
+	if p := k.suspects.Load(); p != nil && !p.Empty() {
+		return *p, q.Fingerprint(r)
 	}
-	return max(q.Crashes, q.Suspects.Level(q.Fingerprint(r)))
+	return poison.List{}, 0
+}
+
+// level returns how many workers the request is known to have crashed, and
+// whether it is refused for that.
+func (k *Worker) level(r *http.Request, q Request, now time.Time) (level int, refused bool) {
+	l, f := k.suspected(r, q)
+	return max(q.Crashes, l.Level(f)), q.Crashes >= poison.RefuseLevel || l.Refuses(f, now) > 0
 }
 
 // follow notes what the end of a request at the worker, which began at the time
@@ -205,8 +216,13 @@
 		k.crashes.Alive(t)
 		k.mu.Unlock()
 	}
-	if f.OK() && level > 0 && k.Cleared != nil {
-		k.Cleared(q.Fingerprint(r))
+	if !f.OK() || k.Cleared == nil {
+		return
+	}
+	// What is suspected now counts: the request may have been at its worker
+	// before others of its kind were beside a crash elsewhere.
+	if l, n := k.suspected(r, q); l.Level(n) > 0 {
+		k.Cleared(n)
 	}
 }
 
