--- a/link/choose.go
+++ b/link/choose.go
@@ -37,11 +37,11 @@
 
 // cost is how long a request would take there: the wait for a slot, the work,
 // and what the way costs, which is far for another site. The time mean is taken
-// for the work where that is not known.
+// for the work as far as that is not known.
 func (c *Candidate) cost(now time.Time, mean, far time.Duration) time.Duration {
-	h := c.Peer.Hold(now)
-	if h == 0 {
-		h = mean
+	h := mean
+	if k, w := c.Peer.Hold(now); w > 0 {
+		h += time.Duration(w * float64(k-mean))
 	}
 	slots := max(1, c.Slots)
 	load := c.Peer.Load(now)
@@ -90,14 +90,15 @@
 // Len returns how many candidates there are.
 func (c Candidates) Len() int { return len(c.all) }
 
-// Hold returns the mean time that a request takes at the instances of which
-// that is known, 0 if there are none.
+// Hold returns the mean time that a request takes at the instances, as far as
+// that is known, 0 if it is of none.
 func (c Candidates) Hold(now time.Time) time.Duration {
-	var sum time.Duration
+	var sum, weight float64
 	n := 0
 	for i := range c.all {
-		if h := c.all[i].Peer.Hold(now); h > 0 {
-			sum += h
+		if h, w := c.all[i].Peer.Hold(now); w > 0 {
+			sum += w * float64(h)
+			weight += w
 			if n++; n == compared {
 				break
 			}
@@ -106,7 +107,7 @@
 	if n == 0 {
 		return 0
 	}
-	return sum / time.Duration(n)
+	return time.Duration(sum / weight)
 }
 
 // Choose returns the candidate for the next attempt at now, or nil. Candidates
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -161,8 +161,8 @@
 		if n := p.Load(later); n != 4 {
 			t.Errorf("step %s: a load of %d, want 4", s, n)
 		}
-		if h := p.Hold(later); h != 100*time.Millisecond {
-			t.Errorf("step %s: %s", s, h)
+		if h, w := p.Hold(later); h != 100*time.Millisecond || w != 0.975 {
+			t.Errorf("step %s: %s with the weight %v", s, h, w)
 		}
 		if !p.Avoided(later) || p.Avoided(later.Add(time.Second)) {
 			t.Errorf("step %s: the time for which it is avoided has changed", s)
@@ -178,3 +178,33 @@
 	*w += uint64(int64(by/time.Second) << 30)
 	return t
 }
+
+// TestSlowIsRemembered lets one of four instances be slow. A daemon that meets
+// each of them only every few seconds remembers it for a while, and tries it again.
+func TestSlowIsRemembered(t *testing.T) {
+	var l []link.Candidate
+	for _, n := range []string{"slow", "b", "c", "d"} {
+		p := &link.Peer{}
+		h := 100 * time.Millisecond
+		if n == "slow" {
+			h = 500 * time.Millisecond
+		}
+		p.Report(link.Load{Hold: h}, now)
+		l = append(l, link.Candidate{Name: n, Slots: 4, SameSite: true, Peer: p})
+	}
+	c := link.NewCandidates(l)
+	share := func(after time.Duration) float64 {
+		n, r := 0, rand.New(rand.NewPCG(1, 1))
+		for range 1000 {
+			if c.Choose(now.Add(after), r, nil, link.FarCost).Name == "slow" {
+				n++
+			}
+		}
+		return float64(n) / 1000
+	}
+	for after, want := range map[time.Duration]float64{time.Second: 0, 5 * time.Second: 0, 12 * time.Second: 0.25} {
+		if s := share(after); s < want-0.05 || s > want+0.05 {
+			t.Errorf("after %s the slow one gets %.2f of the requests, want %.2f", after, s, want)
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -12,9 +12,11 @@
 // take some hundred milliseconds: after that little of it is still there.
 const trustTime = 500 * time.Millisecond
 
-// holdTime is how long the time counts that a request takes at an instance. One
-// that was slow, as after its start, has to be tried again to be known better.
-const holdTime = 2 * time.Second
+// holdTime is how long the time counts that a request takes at an instance. It
+// loses its weight with its age: one that was slow, as after its start, has to be
+// tried again to be known better. In a large fleet two daemons meet every few
+// seconds only.
+const holdTime = 10 * time.Second
 
 // Load is what an instance says of the load of its worker.
 type Load struct {
@@ -115,13 +117,14 @@
 	return own + int64(float64(more)*(1-float64(age)/float64(trustTime))+0.5)
 }
 
-// Hold returns the mean time that a request takes at the instance, 0 if that
-// was not heard lately.
-func (p *Peer) Hold(now time.Time) time.Duration {
-	if p.reported.Age(now) > holdTime {
-		return 0
+// Hold returns the mean time that a request takes at the instance and how much
+// that still counts at now, from 1 for what was just heard down to 0.
+func (p *Peer) Hold(now time.Time) (hold time.Duration, weight float64) {
+	age, h := p.reported.Age(now), time.Duration(p.hold.Load())
+	if age >= holdTime || h == 0 {
+		return 0, 0
 	}
-	return time.Duration(p.hold.Load())
+	return h, 1 - float64(max(0, age))/float64(holdTime)
 }
 
 // Avoid keeps requests away until the time t unless there is no other
