--- a/link/choose.go
+++ b/link/choose.go
@@ -38,13 +38,13 @@
 // cost is how long a request would take there: the wait for a slot, the work,
 // and what the way costs, which is far for another site. The time mean is taken
 // for the work as far as that is not known.
-func (c *Candidate) cost(now time.Time, mean, far time.Duration) time.Duration {
+func (c *Candidate) cost(now instant, mean, far time.Duration) time.Duration {
 	h := mean
-	if k, w := c.Peer.Hold(now); w > 0 {
+	if k, w := c.Peer.timeThere(now); w > 0 {
 		h += time.Duration(w * float64(k-mean))
 	}
 	slots := max(1, c.Slots)
-	load := c.Peer.Load(now)
+	load := c.Peer.load(now)
 	d := h
 	if n := load + 1 - slots; n > 0 {
 		d += h * time.Duration(n) / time.Duration(slots)
@@ -54,7 +54,7 @@
 	if !c.isNear() {
 		d += far
 	}
-	if c.Peer.Avoided(now) || c.Peer.Silent(now) {
+	if c.Peer.avoided(now) || c.Peer.silent(now) {
 		d += avoidedCost
 	}
 	return d
@@ -92,11 +92,13 @@
 
 // Hold returns the mean time that a request takes at the instances, as far as
 // that is known, 0 if it is of none.
-func (c Candidates) Hold(now time.Time) time.Duration {
+func (c Candidates) Hold(now time.Time) time.Duration { return c.hold(at(now)) }
+
+func (c Candidates) hold(now instant) time.Duration {
 	var sum, weight float64
 	n := 0
 	for i := range c.all {
-		if h, w := c.all[i].Peer.Hold(now); w > 0 {
+		if h, w := c.all[i].Peer.timeThere(now); w > 0 {
 			sum += w * float64(h)
 			weight += w
 			if n++; n == compared {
@@ -118,8 +120,8 @@
 // far ones picked at random, so that many daemons with the same news do not all
 // choose the same one.
 func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string, far time.Duration) *Candidate {
-	b := best{now: now, far: far, tried: tried, mean: holdFirst}
-	if h := c.Hold(now); h > 0 {
+	b := best{now: at(now), far: far, tried: tried, mean: holdFirst}
+	if h := c.hold(b.now); h > 0 {
 		b.mean = time.Duration(hope * float64(h))
 	}
 	b.look(c.all[:c.near], r)
@@ -129,7 +131,7 @@
 
 // best is the candidate with the least expected time so far.
 type best struct {
-	now       time.Time
+	now       instant
 	mean, far time.Duration
 	tried     []string
 	candidate *Candidate
--- a/link/peer.go
+++ b/link/peer.go
@@ -72,12 +72,14 @@
 // Silent tells whether the instance has answered nothing for much longer than
 // a request takes, although requests of this daemon are open there. It may be
 // cut off, paused or without power, of which others hear only seconds later.
-func (p *Peer) Silent(now time.Time) bool {
+func (p *Peer) Silent(now time.Time) bool { return p.silent(at(now)) }
+
+func (p *Peer) silent(now instant) bool {
 	if p.own.Load() == 0 {
 		return false
 	}
 	limit := max(silentMin, silentHolds*time.Duration(p.hold.Load()))
-	return p.heard.Age(now) > limit
+	return p.heard.age(now) > limit
 }
 
 // End counts its answer at now. The load is what the answer says was in
@@ -107,9 +109,11 @@
 // Load returns the estimate of requests in flight at the instance. What it
 // reported loses its weight with its age, so that an instance that was once
 // full is tried again.
-func (p *Peer) Load(now time.Time) int64 {
+func (p *Peer) Load(now time.Time) int64 { return p.load(at(now)) }
+
+func (p *Peer) load(now instant) int64 {
 	own := p.own.Load()
-	age := p.reported.Age(now)
+	age := p.reported.age(now)
 	if age >= trustTime {
 		return own
 	}
@@ -119,8 +123,10 @@
 
 // Hold returns the mean time that a request takes at the instance and how much
 // that still counts at now, from 1 for what was just heard down to 0.
-func (p *Peer) Hold(now time.Time) (hold time.Duration, weight float64) {
-	age, h := p.reported.Age(now), time.Duration(p.hold.Load())
+func (p *Peer) Hold(now time.Time) (hold time.Duration, weight float64) { return p.timeThere(at(now)) }
+
+func (p *Peer) timeThere(now instant) (hold time.Duration, weight float64) {
+	age, h := p.reported.age(now), time.Duration(p.hold.Load())
 	if age >= holdTime || h == 0 {
 		return 0, 0
 	}
@@ -132,4 +138,6 @@
 func (p *Peer) Avoid(t time.Time) { p.badUntil.Set(t) }
 
 // Avoided tells whether the instance is to be avoided at now.
-func (p *Peer) Avoided(now time.Time) bool { return p.badUntil.Age(now) < 0 }
+func (p *Peer) Avoided(now time.Time) bool { return p.avoided(at(now)) }
+
+func (p *Peer) avoided(now instant) bool { return p.badUntil.age(now) < 0 }
