--- a/caller/handler.go
+++ b/caller/handler.go
@@ -222,6 +222,7 @@
 	b := h.budget(c.service.Name)
 	b.Earn(h.retries(c))
 	wait, waits := false, 0
+	var last *link.Candidate
 	for i := range asksMax {
 		now := h.Now()
 		k := l.Choose(now, c.random, c.tried, c.far())
@@ -231,9 +232,10 @@
 			c.tried = c.tried[:0]
 			k = l.Choose(now, c.random, nil, c.far())
 		}
-		if k == nil {
+		if k == nil || waits > 0 && f.Code == result.Overloaded && !k.Emptier(last, now) {
 			return f
 		}
+		last = k
 		wait = wait || i >= asksNoWait || !k.Free(now)
 		if wait {
 			waits++
--- a/link/choose.go
+++ b/link/choose.go
@@ -32,6 +32,20 @@
 	Peer     *Peer
 }
 
+// freshTime is the age up to which a reported load is about what it is now.
+const freshTime = 100 * time.Millisecond
+
+// Emptier tells whether the instance may have room after the other one refused
+// for want of it: unless it was heard of lately and has as many requests for its
+// slots. In an overload of all, an ask costs both sides and gets another refusal.
+func (c *Candidate) Emptier(other *Candidate, now time.Time) bool {
+	n := at(now)
+	if c.Peer.reported.age(n) > freshTime {
+		return true
+	}
+	return c.Peer.load(n)*max(1, other.Slots) < other.Peer.load(n)*max(1, c.Slots)
+}
+
 // Free tells whether the instance seems to have a free slot.
 func (c *Candidate) Free(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
 
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -208,3 +208,30 @@
 		}
 	}
 }
+
+// TestEmptier asks whether an instance is worth asking after one with 8 requests
+// for 4 slots refused.
+func TestEmptier(t *testing.T) {
+	full := link.Candidate{Slots: 4, Peer: loaded(8)}
+	cases := []struct {
+		name     string
+		inFlight int
+		slots    int64
+		age      time.Duration
+		want     bool
+	}{
+		{"as full", 8, 4, 0, false},
+		{"fuller", 9, 4, 0, false},
+		{"emptier", 7, 4, 0, true},
+		{"as full for its slots", 16, 8, 0, false},
+		{"emptier for its slots", 8, 8, 0, true},
+		{"as full, as was heard long ago", 8, 4, time.Second, true},
+	}
+	for _, c := range cases {
+		k := link.Candidate{Slots: c.slots, Peer: &link.Peer{}}
+		k.Peer.Report(link.Load{InFlight: c.inFlight}, now.Add(-c.age))
+		if got := k.Emptier(&full, now); got != c.want {
+			t.Errorf("%s: %t", c.name, got)
+		}
+	}
+}
