Refusals between daemons are headers only

Cause: in an overload more refusals than answers cross data centres, each with a body for people, its type and a date, and requests carried the depth and version that only the own interface uses.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -34,6 +34,16 @@
 	_, _ = w.Write(d)
 }
 
+// refuseLink answers another daemon, which goes by the headers alone. Refusals
+// cross data centres most when there is least room.
+func refuseLink(w http.ResponseWriter, f hop.Result) {
+	h := w.Header()
+	h.Set(contract.OutcomeHeader, f.Outcome.String())
+	h.Set(contract.CodeHeader, f.Code.String())
+	h.Set("Content-Length", "0")
+	w.WriteHeader(contract.Status(f.Code, f.Outcome))
+}
+
 // finish ends a call. A begun answer that is not whole is cut, the only way
 // left to tell the caller.
 func finish(w http.ResponseWriter, f hop.Result, retryAfter time.Duration) {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -521,3 +521,33 @@
 		})
 	}
 }
+
+// TestLinkRefusalIsSmall reads the bytes by which a daemon refuses another one:
+// in an overload there are more of them than of answers.
+func TestLinkRefusalIsSmall(t *testing.T) {
+	const bytesMax = 260
+	e, n := mesh(t, refusing(t))
+	n[0].worker.Set(upstream.Announcement{Service: "s", Address: "127.0.0.1:1", State: "Left"}, nil, time.Now())
+	c, err := net.Dial("tcp", address(n[0].link))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n%s: s\r\n%s: %s\r\n\r\n", contract.ServiceHeader, contract.ReleaseHeader, e.View().Release())
+	b, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = p.Body.Close()
+	got := []string{p.Header.Get(contract.CodeHeader), p.Header.Get(contract.OutcomeHeader), p.Header.Get(contract.LoadHeader)}
+	if d := cmp.Diff([]string{"FW3008", "not-run", "0 0"}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	if len(b) > bytesMax {
+		t.Errorf("%d bytes, want at most %d:\n%s", len(b), bytesMax, b)
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -175,19 +176,19 @@
 		c.ask.Goal = now.Add(c.route.Goal)
 	}
 	c.again = c.repeats(r)
-	depth := hop.Field{Name: contract.DepthHeader, Value: strconv.Itoa(n + 1)}
-	version := hop.Field{Name: contract.VersionHeader, Value: c.view.version}
 	if h.Headers == contract.OwnHeaders() {
-		c.own = []hop.Field{depth, version}
+		c.own = []hop.Field{
+			{Name: contract.DepthHeader, Value: strconv.Itoa(n + 1)},
+			{Name: contract.VersionHeader, Value: c.view.version},
+		}
 	}
-	c.set = []hop.Field{
-		depth, version,
+	c.set = slices.Concat(c.own, []hop.Field{
 		{Name: contract.ReleaseHeader, Value: c.view.release},
 		{Name: contract.ServiceHeader, Value: c.service.Name},
 		{Name: contract.RankHeader, Value: strconv.Itoa(c.ask.Rank)},
 		{Name: contract.KindHeader, Value: c.ask.Kind},
 		{Name: contract.OriginHeader, Value: h.Origin},
-	}
+	})
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
 	return h.attempts(x, w, r, c)
 }
--- a/caller/link.go
+++ b/caller/link.go
@@ -40,11 +40,15 @@
 	if a := h.Daemon.Age(h.Now()); a != "" {
 		w.Header().Set(contract.AgeHeader, a)
 	}
+	w.Header()["Date"] = nil // nobody reads it between daemons
 	f := h.serve(w, r)
-	if !f.Begun {
+	switch {
+	case f.Begun:
+		finish(w, f, 0)
+	case !f.OK():
 		h.addLoad(w.Header())
+		refuseLink(w, f)
 	}
-	finish(w, f, 0)
 }
 
 // addLoad tells the load as it is when the answer goes out.
