--- a/caller/decision.go
+++ b/caller/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -56,22 +57,42 @@
 	h.Record.Decision(d)
 }
 
-// retryAfter returns when a refused caller should come back: when each slot of
-// the service has been passed on about once, spread so that those who were
-// refused together do not return together.
+// retryAfter returns when a refused caller should come back, spread so that those
+// who were refused together do not return together.
 func (h *Handler) retryAfter(c *call, f hop.Result) time.Duration {
-	if f.Outcome != contract.NotRun {
+	switch {
+	case f.Outcome != contract.NotRun:
 		return 0
-	}
-	if f.Code == result.CrashesWorkers {
+	case f.Code == result.CrashesWorkers:
 		return cmp.Or(c.refused, poison.RefuseTime)
+	case f.Code == result.Overloaded:
+		return returnTime(c.route.Goal, c.view.Candidates[c.service.Name].Hold(h.Now()), c.random)
 	}
-	low := retryAfterMin
-	if f.Code == result.Overloaded {
-		low = max(low, c.view.Candidates[c.service.Name].Hold(h.Now())/2)
+	return spread(retryAfterMin, 2*retryAfterMin, c.random)
+}
+
+const (
+	// retryAfterMin is how long news of another instance may take to come.
+	retryAfterMin = 50 * time.Millisecond
+	// returnSoonest and returnLatest are the parts of the spare time to its goal
+	// after which a caller returns.
+	returnSoonest = 0.1
+	returnLatest  = 0.5
+)
+
+// returnTime returns when a caller should come back that was refused for want of
+// slots. It answers an overload that lasts: slots are passed on all the while, and
+// who returns has the chance that anybody has, which is worth most while the goal
+// can still be reached. The hold is how long a request takes; where it leaves no
+// time, the slots are passed on about once.
+func returnTime(goal, hold time.Duration, r *rand.Rand) time.Duration {
+	if spare := goal - hold; goal > 0 && spare > 0 {
+		return spread(time.Duration(returnSoonest*float64(spare)), time.Duration(returnLatest*float64(spare)), r)
 	}
-	return low + time.Duration(c.random.Int64N(int64(low)))
+	return spread(max(retryAfterMin, hold/2), max(2*retryAfterMin, hold), r)
 }
 
-// retryAfterMin is how long news of another instance may take to come.
-const retryAfterMin = 50 * time.Millisecond
+// spread returns a time from low to high.
+func spread(low, high time.Duration, r *rand.Rand) time.Duration {
+	return low + time.Duration(r.Int64N(int64(high-low)+1))
+}
