A delivery's share of time is counted by the clock of contexts

Cause: Spread took the part of the time left from the daemon's clock and the deadline of a context, which is by the runtime's. TestBreaks moves the daemon's clock to 7 December 2026: while that lies ahead the share is not applied, so that one daemon that hangs takes a round's whole 2 s of the 3 s that a change has; once it has passed, every delivery ends at once.

--- a/change/decide.go
+++ b/change/decide.go
@@ -111,7 +111,11 @@
 	if len(m) > 0 {
 		return Refuse, result.New(result.SiteUnreachable, "no instance reached at site %s", strings.Join(m, ", "))
 	}
-	return Refuse, result.New(result.DeadlinePassed, "not staged by %s%s", p.Deadline.UTC().Format(time.RFC3339), someOf(slices.Concat(r.Behind, r.Unreached)))
+	late := someOf(slices.Concat(r.Behind, r.Unreached))
+	if late == "" {
+		late = fmt.Sprintf(": %d of %d instances reported it, the last round ended %s too late", r.staged(), live, now.Sub(p.Deadline).Round(time.Millisecond))
+	}
+	return Refuse, result.New(result.DeadlinePassed, "not staged by %s%s", p.Deadline.UTC().Format(time.RFC3339), late)
 }
 
 func someOf(n []string) string {
--- a/daemon/break_test.go
+++ b/daemon/break_test.go
@@ -34,7 +34,7 @@
 // the sites that they change.
 func TestBreaks(t *testing.T) {
 	t.Parallel()
-	midnight := time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+	midnight := time.Date(2024, 12, 9, 0, 0, 0, 0, time.UTC) // a Monday that has passed
 	began := time.Now()
 	var day atomic.Int64 // since midnight
 	f := &fleet{t: t, store: &platformtest.Store{}, now: func() time.Time {
@@ -55,9 +55,9 @@
 		killSecond bool
 	}{
 		{"the first version, outside any break", 9, 0, 0, "", stepInForce, 0, "", false},
-		{"outside", 9, 10, 0, "0", stepRefused, result.OutsideBreak, "2026-12-07T12:00:00Z", false},
+		{"outside", 9, 10, 0, "0", stepRefused, result.OutsideBreak, "2024-12-09T12:00:00Z", false},
 		{"in the break of the site that changes", 12, 1, 0, "0", stepInForce, 0, "", false},
-		{"the other site changes too, and is not in its break", 12, 2, 0, "01", stepRefused, result.OutsideBreak, "2026-12-07T12:20:00Z", false},
+		{"the other site changes too, and is not in its break", 12, 2, 0, "01", stepRefused, result.OutsideBreak, "2024-12-09T12:20:00Z", false},
 		{"both are", 12, 21, 0, "001", stepInForce, 0, "", false},
 		{"only the second is any more", 12, 40, 0, "0011", stepInForce, 0, "", false},
 		{"not staged by the end of the break", 12, 59, 58, "00111", stepRefused, result.DeadlinePassed, "13:00:00Z", true},
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -381,7 +381,7 @@
 		DeltaContent: q.GetDeltaContent(),
 		Targets:      q.GetTargets(),
 	}
-	go func() { below <- d.peers.Spread(x, n, d.now()) }()
+	go func() { below <- d.peers.Spread(x, n) }()
 	r := d.take(x, peer.ToHead(q.GetHead()), q)
 	p := peer.FromReport(r.Add(<-below))
 	return p, nil
--- a/peer/tree.go
+++ b/peer/tree.go
@@ -31,10 +31,11 @@
 // Spread hands the request q to the trees that cover its targets and returns
 // what they report together. A target that cannot be called is reported as
 // unreached and the next one of its run takes its place.
-func (c *Client) Spread(x context.Context, q *peerpb.DeliverRequest, now time.Time) change.Report {
+func (c *Client) Spread(x context.Context, q *peerpb.DeliverRequest) change.Report {
 	if d, ok := x.Deadline(); ok {
+		// The clock is that of contexts: the daemon's own may show another time.
 		var stop context.CancelFunc
-		x, stop = context.WithDeadline(x, now.Add(time.Duration(float64(d.Sub(now))*levelShare)))
+		x, stop = context.WithTimeout(x, time.Duration(levelShare*float64(time.Until(d))))
 		defer stop()
 	}
 	l := Split(q.GetTargets(), Fanout)
