A daemon that starts asks its worker for its health

The answer's id makes a provisional announcement, with the slots of others of its service or few; it stays out of the history that orders announcements, which a late check-in of an earlier start would otherwise turn against the worker. TestWorkerFound has these cases.

--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -98,6 +98,7 @@
 	return &daemon.Edge{
 		Headers:      platform.Headers(),
 		Workers:      platform.Workers,
+		AskWorker:    platform.AskWorker,
 		ReadyPath:    platform.ReadyPath,
 		HoldBack:     true,
 		ConfigKey:    platform.ConfigKey,
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -1,10 +1,15 @@
 package daemon
 
 import (
+	"cmp"
+	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"figwheel/contract"
+	"figwheel/event"
+	"figwheel/instance"
 	"figwheel/site"
 	"figwheel/upstream"
 )
@@ -15,6 +20,9 @@
 	// Workers returns the handler that the worker calls. It hands what the
 	// worker says to take, whose error says why that is not believed.
 	Workers func(take func(a upstream.Announcement, now time.Time) error, now func() time.Time) http.Handler
+	// AskWorker asks the worker at the address, by its health path, which start
+	// of it is there and ready; the id is empty if none is. May be nil.
+	AskWorker func(x context.Context, address, healthPath string) (id string, err error)
 	// ReadyPath is where the daemon is asked whether it takes calls.
 	ReadyPath string
 	// HoldBack keeps answers back until they are whole, see hop.Hop.
@@ -75,3 +83,54 @@
 	}
 	c.workerLost(now, "unreachable")
 }
+
+const (
+	// askWorkerTime bounds the question to the worker after a start.
+	askWorkerTime = time.Second
+	// provisionalSlots are taken for a worker that answers and has not said how
+	// many it has, nor has another one of its service; few workers have less.
+	provisionalSlots = 4
+)
+
+// askWorker asks the worker beside this daemon whether it is ready, once after a
+// start: a worker that has been there all the while announces itself only when
+// its turn comes, and would idle until then.
+func (c *control) askWorker() {
+	f, a, service := c.d.edge.AskWorker, c.settings.WorkerAddress, c.settings.Service
+	s, ok := c.serving.Service(service)
+	if f == nil || a == "" || !ok || s.HealthPath == "" || c.announcement.Service != "" {
+		return
+	}
+	c.start(func(x context.Context) {
+		y, stop := context.WithTimeout(x, askWorkerTime)
+		defer stop()
+		id, err := f(y, a, s.HealthPath)
+		if err != nil {
+			c.d.event(x, event.WorkerSilent, slog.String("Address", a), slog.String("Cause", err.Error()))
+			return
+		}
+		if id != "" {
+			_ = c.d.do(x, func(c *control) { c.foundWorker(id, c.d.now()) })
+		}
+	})
+}
+
+// foundWorker takes the worker that answered for ready until it announces
+// itself. The history of announcements does not hear of it: what orders those,
+// the time of the start and the sequence, is not known.
+func (c *control) foundWorker(id string, now time.Time) {
+	if c.announcement.Service != "" {
+		return // it was quicker
+	}
+	a := upstream.Announcement{ID: id, Service: c.settings.Service, Address: c.settings.WorkerAddress, State: instance.Ready.String()}
+	for _, r := range c.table.All() {
+		if r.Service == a.Service && r.Slots > 0 {
+			a.Slots = int(r.Slots)
+			break
+		}
+	}
+	a.Slots = cmp.Or(a.Slots, provisionalSlots)
+	c.announcement, c.announced = a, now
+	c.d.event(c.x, event.WorkerFound, slog.String("Service", a.Service), slog.String("ID", id), slog.Int("Slots", a.Slots))
+	c.describe(now)
+}
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -95,6 +95,7 @@
 	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", c.known.Target.ChangeID))
 	if first {
 		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
+		c.askWorker()
 	}
 }
 
--- /dev/null
+++ b/daemon/worker_test.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"figwheel/instance"
+	"figwheel/settings"
+	"figwheel/site"
+	"figwheel/upstream"
+)
+
+// TestWorkerFound starts a daemon beside a worker that has been there all the
+// while and does not announce itself yet.
+func TestWorkerFound(t *testing.T) {
+	ready := upstream.Announcement{ID: "w-2", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
+	older := ready
+	older.ID, older.Born = "w-1", 100
+	cases := []struct {
+		name  string
+		id    string // that the worker answers
+		err   error
+		then  []upstream.Announcement
+		want  instance.State
+		slots uint32
+		id2   string // that the daemon goes by in the end
+	}{
+		{"it answers", "w-2", nil, nil, instance.Ready, provisionalSlots, "w-2"},
+		{"it is not ready", "", nil, nil, instance.Starting, 0, ""},
+		{"it takes no connection", "", errors.New("refused"), nil, instance.Starting, 0, ""},
+		{"it announces itself later", "w-2", nil, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
+		{"a late announcement of an earlier start comes first", "w-2", nil, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan string, 1)
+			f := &fleet{t: t, store: newStore()}
+			e := ownEdge()
+			e.ConfigKey = "config/main"
+			e.DecodeConfig = site.DecodeTable
+			e.AskWorker = func(_ context.Context, address, path string) (string, error) {
+				asked <- address + path
+				return c.id, c.err
+			}
+			f.edge = &e
+			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
+			if err == nil {
+				_, err = f.store.Put(context.Background(), "config/main", "", b)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(f.close)
+			f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+			if a := <-asked; a != "127.0.0.1:1/health" {
+				t.Errorf("asked %s", a)
+			}
+			f.wait("the answer is taken in", func() bool {
+				return f.ask(0, func(c2 *control) bool { return c.id == "" || c2.announcement.ID != "" })
+			})
+			for _, a := range c.then {
+				_ = f.daemons[0].announced(a, time.Now())
+			}
+			type state struct {
+				State instance.State
+				Slots uint32
+				ID    string
+			}
+			var got state
+			f.ask(0, func(c *control) bool {
+				r := c.table.Self()
+				got = state{r.State, r.Slots, c.announcement.ID}
+				return true
+			})
+			if d := cmp.Diff(state{c.want, c.slots, c.id2}, got); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -47,6 +47,8 @@
 	AnnouncementRefused
 	RequestSuspected
 	RequestCleared
+	WorkerFound
+	WorkerSilent
 )
 
 // Events of the platform.
@@ -102,6 +104,8 @@
 	{AnnouncementRefused, "AnnouncementRefused", slog.LevelWarn, "A worker's announcement is older than what is known."},
 	{RequestSuspected, "RequestSuspected", slog.LevelWarn, "The worker beside this daemon crashed while it ran the request, or another's did so."},
 	{RequestCleared, "RequestCleared", slog.LevelInfo, "A worker answered a request that was suspected of crashing workers."},
+	{WorkerFound, "WorkerFound", slog.LevelInfo, "The worker answered after the daemon's start, before its announcement."},
+	{WorkerSilent, "WorkerSilent", slog.LevelInfo, "The worker did not answer after the daemon's start; its announcement is waited for."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; what is in force stays served."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,6 +31,8 @@
 	Interface string `yaml:"Interface"` // Figwheel, or Platform for the users' platform: what callers, workers and supervisors speak
 	Service   string `yaml:"Service"`   // service of the worker beside it; may be empty
 
+	WorkerAddress string `yaml:"WorkerAddress"` // of that worker, which is asked after a start; may be empty
+
 	CallAddress     string `yaml:"CallAddress"`     // callers
 	LinkAddress     string `yaml:"LinkAddress"`     // calls from other daemons
 	PeerAddress     string `yaml:"PeerAddress"`     // control traffic of other daemons
@@ -133,6 +135,7 @@
 		{"UpstreamAddress", &s.UpstreamAddress},
 		{"OperatorAddress", &s.OperatorAddress},
 		{"ReadyAddress", &s.ReadyAddress},
+		{"WorkerAddress", &s.WorkerAddress},
 		{"LogLevel", &s.LogLevel},
 		{"Interface", &s.Interface},
 		{"Service", &s.Service},
@@ -209,7 +212,7 @@
 		fail("Platform %q is not an http or https URL", s.Platform)
 	}
 	for _, t := range s.texts() {
-		optional := t.name == "ReadyAddress" && *t.value == ""
+		optional := (t.name == "ReadyAddress" || t.name == "WorkerAddress") && *t.value == ""
 		if strings.HasSuffix(t.name, "Address") && !optional && !validAddress(*t.value) {
 			fail("%s %q is not an IP number and a port", t.name, *t.value)
 		}
