Instances are compared by the time of the request's kind; those that fail are dearer

An instance was judged by the mean time of all that it ran: one that ran short lookups looked fast to long bookings and drew more of both. Answers now carry the mean time of the request's own kind, which the choice goes by; the mean of all counts for the wait only. A worker that fails at once looked fast too: what fails quickly no longer moves the means, and its part makes the work dearer. TestFastForItsKind, TestFailingIsDear.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -544,7 +544,7 @@
 	}
 	_ = p.Body.Close()
 	got := []string{p.Header.Get(contract.CodeHeader), p.Header.Get(contract.OutcomeHeader), p.Header.Get(contract.LoadHeader)}
-	if d := cmp.Diff([]string{"FW3008", "not-run", "0 0"}, got); d != "" {
+	if d := cmp.Diff([]string{"FW3008", "not-run", "0 0 0"}, got); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
 	if len(b) > bytesMax {
--- a/caller/decision.go
+++ b/caller/decision.go
@@ -66,7 +66,7 @@
 	case f.Code == result.CrashesWorkers:
 		return cmp.Or(c.refused, poison.RefuseTime)
 	case f.Code == result.Overloaded:
-		return returnTime(c.route.Goal, c.view.Candidates[c.service.Name].Hold(h.Now()), c.random)
+		return returnTime(c.route.Goal, c.view.Candidates[c.service.Name].Work(c.ask.Kind, h.Now()), c.random)
 	}
 	return spread(retryAfterMin, 2*retryAfterMin, c.random)
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -226,12 +226,12 @@
 	var last *link.Candidate
 	for i := range asksMax {
 		now := h.Now()
-		k := l.Choose(now, c.random, c.tried, c.far())
+		k := l.Choose(now, c.ask.Kind, c.random, c.tried, c.far())
 		if k == nil && !wait && f.Code == result.Overloaded {
 			// Everybody is full: wait where it takes least.
 			wait = true
 			c.tried = c.tried[:0]
-			k = l.Choose(now, c.random, nil, c.far())
+			k = l.Choose(now, c.ask.Kind, c.random, nil, c.far())
 		}
 		if k == nil || waits > 0 && f.Code == result.Overloaded && !k.Emptier(last, now) {
 			return f
@@ -290,7 +290,7 @@
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
 		f := h.Worker.Serve(y, w, r, now, upstream.Request{Ask: c.ask, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.own, Now: h.Now, Crashes: c.crashes})
-		k.Peer.End(h.Worker.Load().String(), h.Now())
+		k.Peer.End(h.Worker.Load(c.ask.Kind).String(), c.ask.Kind, h.Now())
 		c.lost(f)
 		return f
 	}
@@ -298,7 +298,7 @@
 	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.fields(now)}
 	f := p.Do(x, w, r, c.body)
 	now = h.Now()
-	k.Peer.End(f.Load, now)
+	k.Peer.End(f.Load, c.ask.Kind, now)
 	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
 		k.Peer.Avoid(now.Add(avoidTime))
 	}
--- a/caller/link.go
+++ b/caller/link.go
@@ -46,14 +46,14 @@
 	case f.Begun:
 		finish(w, f, 0)
 	case !f.OK():
-		h.addLoad(w.Header())
+		h.addLoad(w.Header(), r)
 		refuseLink(w, f)
 	}
 }
 
-// addLoad tells the load as it is when the answer goes out.
-func (h *LinkHandler) addLoad(a http.Header) {
-	a.Set(contract.LoadHeader, h.Worker.Load().String())
+// addLoad tells the load as it is when the answer to r goes out.
+func (h *LinkHandler) addLoad(a http.Header, r *http.Request) {
+	a.Set(contract.LoadHeader, h.Worker.Load(r.Header.Get(contract.KindHeader)).String())
 }
 
 func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request) hop.Result {
@@ -75,7 +75,7 @@
 		Origin:  r.Header.Get(contract.OriginHeader),
 		Body:    b,
 		Now:     h.Now,
-		Before:  h.addLoad,
+		Before:  func(a http.Header) { h.addLoad(a, r) },
 	}
 	q.Crashes, _ = strconv.Atoi(r.Header.Get(contract.CrashesHeader)) // most have none
 	// A rank that cannot be read is that of the least important requests.
--- a/caller/load_test.go
+++ b/caller/load_test.go
@@ -52,7 +52,7 @@
 		}
 		d := draw(work)
 		time.Sleep(d)
-		a.Leave(time.Now(), "k", d)
+		a.Leave(time.Now(), "k", d, upstream.Answered)
 		return true
 	}
 	n, good, slow := 0, 0, 0
--- a/link/choose.go
+++ b/link/choose.go
@@ -49,19 +49,18 @@
 // Free tells whether the instance seems to have a free slot.
 func (c *Candidate) Free(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
 
-// cost is how long a request would take there: the wait for a slot, the work,
-// and what the way costs, which is far for another site. The time mean is taken
-// for the work as far as that is not known.
-func (c *Candidate) cost(now instant, mean, far time.Duration) time.Duration {
-	h := mean
-	if k, w := c.Peer.timeThere(now); w > 0 {
-		h += time.Duration(w * float64(k-mean))
-	}
+// cost is how long a request of the kind would take there: the wait for a slot,
+// which goes by the time of all kinds, the work, which goes by its own, and what
+// the way costs, which is far for another site. The time mean is taken for the
+// work as far as that is not known. A mean over all kinds alone would make the
+// instance that runs the short kind look fast to the long one.
+func (c *Candidate) cost(now instant, kind string, mean, far time.Duration) time.Duration {
+	h := blend(mean)(c.Peer.work(kind, now))
 	slots := max(1, c.Slots)
 	load := c.Peer.load(now)
 	d := h
 	if n := load + 1 - slots; n > 0 {
-		d += h * time.Duration(n) / time.Duration(slots)
+		d += blend(h)(c.Peer.timeThere(now)) * time.Duration(n) / time.Duration(slots)
 	}
 	// Of two that have free slots the emptier one is the safer guess.
 	d += time.Duration(int64(h) * min(load, slots) / slots / 4)
@@ -104,15 +103,22 @@
 // Len returns how many candidates there are.
 func (c Candidates) Len() int { return len(c.all) }
 
-// Hold returns the mean time that a request takes at the instances, as far as
-// that is known, 0 if it is of none.
-func (c Candidates) Hold(now time.Time) time.Duration { return c.hold(at(now)) }
+// blend returns a function that takes mean for what is not known of a time.
+func blend(mean time.Duration) func(t time.Duration, weight float64) time.Duration {
+	return func(t time.Duration, weight float64) time.Duration {
+		return mean + time.Duration(weight*float64(t-mean))
+	}
+}
+
+// Work returns the mean time that a request of the kind takes at the instances,
+// as far as that is known, 0 if it is of none.
+func (c Candidates) Work(kind string, now time.Time) time.Duration { return c.work(kind, at(now)) }
 
-func (c Candidates) hold(now instant) time.Duration {
+func (c Candidates) work(kind string, now instant) time.Duration {
 	var sum, weight float64
 	n := 0
 	for i := range c.all {
-		if h, w := c.all[i].Peer.timeThere(now); w > 0 {
+		if h, w := c.all[i].Peer.work(kind, now); w > 0 {
 			sum += w * float64(h)
 			weight += w
 			if n++; n == compared {
@@ -126,16 +132,16 @@
 	return time.Duration(sum / weight)
 }
 
-// Choose returns the candidate for the next attempt at now, or nil. Candidates
-// named in tried are left out. Another site counts as so much longer as far
+// Choose returns the candidate for the next attempt of a request of the kind at
+// now, or nil. Candidates named in tried are left out. Another site counts as so much longer as far
 // says: bytes between data centres have a price. It answers a load that is
 // uneven over sites and instances of unequal speed: the candidate with the least
 // expected time wins, of all when they are few, otherwise of some near and some
 // far ones picked at random, so that many daemons with the same news do not all
 // choose the same one.
-func (c Candidates) Choose(now time.Time, r *rand.Rand, tried []string, far time.Duration) *Candidate {
-	b := best{now: at(now), far: far, tried: tried, mean: holdFirst}
-	if h := c.hold(b.now); h > 0 {
+func (c Candidates) Choose(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration) *Candidate {
+	b := best{now: at(now), kind: kind, far: far, tried: tried, mean: holdFirst}
+	if h := c.work(kind, b.now); h > 0 {
 		b.mean = time.Duration(hope * float64(h))
 	}
 	b.look(c.all[:c.near], r)
@@ -146,6 +152,7 @@
 // best is the candidate with the least expected time so far.
 type best struct {
 	now       instant
+	kind      string
 	mean, far time.Duration
 	tried     []string
 	candidate *Candidate
@@ -164,7 +171,7 @@
 		if slices.Contains(b.tried, k.Name) {
 			continue
 		}
-		if d := k.cost(b.now, b.mean, b.far); b.candidate == nil || d < b.cost {
+		if d := k.cost(b.now, b.kind, b.mean, b.far); b.candidate == nil || d < b.cost {
 			b.candidate, b.cost = k, d
 		}
 		if seen++; seen == compared {
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -52,7 +52,7 @@
 			l := link.NewCandidates(c.all)
 			hit := make(map[string]bool)
 			for range 1000 {
-				if k := l.Choose(now, r, c.tried, link.FarCost); k != nil {
+				if k := l.Choose(now, "k", r, c.tried, link.FarCost); k != nil {
 					hit[k.Name] = true
 				}
 			}
@@ -77,7 +77,7 @@
 	c := link.NewCandidates(l)
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		c.Choose(now, r, nil, link.FarCost).Peer.Begin(now)
+		c.Choose(now, "k", r, nil, link.FarCost).Peer.Begin(now)
 	}
 	for _, k := range l {
 		if n := k.Peer.Load(now); n < 45 || n > 55 {
@@ -91,7 +91,7 @@
 	var got []int64
 	for _, s := range []string{"7", "", "x", "-1", "0"} {
 		p.Begin(now)
-		p.End(s, now)
+		p.End(s, "k", now)
 		got = append(got, p.Load(now))
 	}
 	if d := cmp.Diff([]int64{7, 7, 7, 7, 2}, got); d != "" {
@@ -109,17 +109,17 @@
 	p.Begin(at(10_000))
 	ask(10_150)
 	ask(10_151) // longer than any request may be expected to take
-	p.End("1 100000", at(10_160))
+	p.End("1 100000", "k", at(10_160))
 	ask(11_000) // nothing is open again
 	p.Begin(at(11_000))
 	p.Begin(at(11_300))
-	ask(11_400)           // requests take 100 ms there
-	ask(11_401)           // four times that have passed
-	p.End("", at(11_500)) // one was given up, which says nothing
-	ask(11_501)           //
-	p.Begin(at(11_600))   // one more is no answer either
-	ask(11_601)           //
-	p.End("1 100000", at(11_700))
+	ask(11_400)                // requests take 100 ms there
+	ask(11_401)                // four times that have passed
+	p.End("", "k", at(11_500)) // one was given up, which says nothing
+	ask(11_501)                //
+	p.Begin(at(11_600))        // one more is no answer either
+	ask(11_601)                //
+	p.End("1 100000", "k", at(11_700))
 	ask(11_701)
 	if d := cmp.Diff([]bool{false, false, true, false, false, true, true, true, false}, got); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
@@ -140,7 +140,7 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	far := 0
 	for range 1000 {
-		if k := c.Choose(now, r, nil, link.FarCost); !k.SameSite {
+		if k := c.Choose(now, "k", r, nil, link.FarCost); !k.SameSite {
 			far++
 		}
 	}
@@ -155,13 +155,13 @@
 	for _, s := range []time.Duration{-time.Hour, time.Hour} {
 		var p link.Peer
 		at := time.Now() // only this has a reading of the steady clock
-		p.Report(link.Load{InFlight: 8, Hold: 100 * time.Millisecond}, at)
+		p.Report(link.Load{InFlight: 8, Work: 100 * time.Millisecond}, "k", at)
 		p.Avoid(at.Add(time.Second))
 		later := stepped(at.Add(250*time.Millisecond), s)
 		if n := p.Load(later); n != 4 {
 			t.Errorf("step %s: a load of %d, want 4", s, n)
 		}
-		if h, w := p.Hold(later); h != 100*time.Millisecond || w != 0.975 {
+		if h, w := p.Work("k", later); h != 100*time.Millisecond || w != 0.975 {
 			t.Errorf("step %s: %s with the weight %v", s, h, w)
 		}
 		if !p.Avoided(later) || p.Avoided(later.Add(time.Second)) {
@@ -189,14 +189,14 @@
 		if n == "slow" {
 			h = 500 * time.Millisecond
 		}
-		p.Report(link.Load{Hold: h}, now)
+		p.Report(link.Load{Work: h}, "k", now)
 		l = append(l, link.Candidate{Name: n, Slots: 4, SameSite: true, Peer: p})
 	}
 	c := link.NewCandidates(l)
 	share := func(after time.Duration) float64 {
 		n, r := 0, rand.New(rand.NewPCG(1, 1))
 		for range 1000 {
-			if c.Choose(now.Add(after), r, nil, link.FarCost).Name == "slow" {
+			if c.Choose(now.Add(after), "k", r, nil, link.FarCost).Name == "slow" {
 				n++
 			}
 		}
@@ -229,9 +229,28 @@
 	}
 	for _, c := range cases {
 		k := link.Candidate{Slots: c.slots, Peer: &link.Peer{}}
-		k.Peer.Report(link.Load{InFlight: c.inFlight}, now.Add(-c.age))
+		k.Peer.Report(link.Load{InFlight: c.inFlight}, "k", now.Add(-c.age))
 		if got := k.Emptier(&full, now); got != c.want {
 			t.Errorf("%s: %t", c.name, got)
 		}
 	}
 }
+
+// TestFastForItsKind compares an instance that runs many short requests with one
+// that runs long ones: the mean of all says nothing of how fast they are.
+func TestFastForItsKind(t *testing.T) {
+	const short, long = 40 * time.Millisecond, 200 * time.Millisecond
+	slow := link.Candidate{Name: "slow", Slots: 9, SameSite: true, Peer: &link.Peer{}}
+	slow.Peer.Report(link.Load{Hold: 2 * short, Work: 2 * long}, "long", now)
+	slow.Peer.Report(link.Load{Hold: 2 * short, Work: 2 * short}, "short", now)
+	fast := link.Candidate{Name: "fast", Slots: 9, SameSite: true, Peer: &link.Peer{}}
+	fast.Peer.Report(link.Load{Hold: long, Work: short}, "short", now)
+	fast.Peer.Report(link.Load{Hold: long, Work: long}, "long", now)
+	c := link.NewCandidates([]link.Candidate{slow, fast})
+	r := rand.New(rand.NewPCG(1, 1))
+	for _, kind := range []string{"short", "long"} {
+		if k := c.Choose(now, kind, r, nil, link.FarCost); k.Name != "fast" {
+			t.Errorf("a %s request goes to the %s one", kind, k.Name)
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -22,24 +23,33 @@
 type Load struct {
 	InFlight int           // at the worker and waiting for it
 	Hold     time.Duration // mean time that a request takes there, 0 if unknown
+	Work     time.Duration // the same of those of one kind, dearer by those that fail
 }
 
 // String returns the load as it rides on answers: the requests in flight and
-// the microseconds that one takes.
-func (l Load) String() string { return fmt.Sprintf("%d %d", l.InFlight, l.Hold.Microseconds()) }
+// the microseconds that one takes, of all and of the kind that was answered.
+func (l Load) String() string {
+	return fmt.Sprintf("%d %d %d", l.InFlight, l.Hold.Microseconds(), l.Work.Microseconds())
+}
 
 // ParseLoad reads a load; it tells whether there is one.
 func ParseLoad(s string) (Load, bool) {
-	a, b, _ := strings.Cut(s, " ")
+	a, rest, _ := strings.Cut(s, " ")
 	n, err := strconv.Atoi(a)
 	if err != nil || n < 0 {
 		return Load{}, false
 	}
-	us, err := strconv.ParseInt(b, 10, 64)
+	b, c, _ := strings.Cut(rest, " ")
+	return Load{n, micros(b), micros(c)}, true
+}
+
+// micros reads a time, 0 for one that is not told.
+func micros(s string) time.Duration {
+	us, err := strconv.ParseInt(s, 10, 64)
 	if err != nil || us < 0 {
-		us = 0
+		return 0
 	}
-	return Load{n, time.Duration(us) * time.Microsecond}, true
+	return time.Duration(us) * time.Microsecond
 }
 
 // Peer is what this daemon knows of the load of one instance; it is shared by
@@ -51,6 +61,13 @@
 	hold     atomic.Int64 // nanoseconds that a request takes there
 	heard    Moment       // of the last answer, or of the first request after none was open
 	badUntil Moment       // until which it is avoided
+	works    sync.Map     // of *work, by kind of request
+}
+
+// work is the mean time that requests of one kind take at an instance.
+type work struct {
+	mean atomic.Int64 // nanoseconds
+	told Moment
 }
 
 const (
@@ -82,9 +99,9 @@
 	return p.heard.age(now) > limit
 }
 
-// End counts its answer at now. The load is what the answer says was in
-// flight, or empty when there was no answer.
-func (p *Peer) End(load string, now time.Time) {
+// End counts its answer at now to a request of the kind. The load is what the
+// answer says, or empty when there was no answer.
+func (p *Peer) End(load, kind string, now time.Time) {
 	p.own.Add(-1)
 	if load != "" {
 		p.heard.Set(now)
@@ -94,16 +111,25 @@
 		p.expected.Add(-1)
 		return
 	}
-	p.Report(l, now)
+	p.Report(l, kind, now)
 }
 
-// Report takes in what the instance says of its load at now.
-func (p *Peer) Report(l Load, now time.Time) {
+// Report takes in what the instance says of its load at now, with the time that
+// requests of the kind take.
+func (p *Peer) Report(l Load, kind string, now time.Time) {
 	p.expected.Store(int64(l.InFlight))
 	p.reported.Set(now)
 	if l.Hold > 0 {
 		p.hold.Store(int64(l.Hold))
 	}
+	if l.Work > 0 {
+		v, ok := p.works.Load(kind)
+		if !ok {
+			v, _ = p.works.LoadOrStore(kind, &work{})
+		}
+		v.(*work).mean.Store(int64(l.Work))
+		v.(*work).told.Set(now)
+	}
 }
 
 // Load returns the estimate of requests in flight at the instance. What it
@@ -121,16 +147,32 @@
 	return own + int64(float64(more)*(1-float64(age)/float64(trustTime))+0.5)
 }
 
-// Hold returns the mean time that a request takes at the instance and how much
-// that still counts at now, from 1 for what was just heard down to 0.
-func (p *Peer) Hold(now time.Time) (hold time.Duration, weight float64) { return p.timeThere(at(now)) }
+// Work returns the mean time that a request of the kind takes at the instance
+// and how much that still counts at now, from 1 for what was just heard down to 0.
+func (p *Peer) Work(kind string, now time.Time) (mean time.Duration, weight float64) {
+	return p.work(kind, at(now))
+}
+
+func (p *Peer) work(kind string, now instant) (mean time.Duration, weight float64) {
+	v, ok := p.works.Load(kind)
+	if !ok {
+		return 0, 0
+	}
+	k := v.(*work)
+	return weighed(time.Duration(k.mean.Load()), k.told.age(now))
+}
+
+// timeThere is work for requests of all kinds, among which one waits.
+func (p *Peer) timeThere(now instant) (mean time.Duration, weight float64) {
+	return weighed(time.Duration(p.hold.Load()), p.reported.age(now))
+}
 
-func (p *Peer) timeThere(now instant) (hold time.Duration, weight float64) {
-	age, h := p.reported.age(now), time.Duration(p.hold.Load())
-	if age >= holdTime || h == 0 {
+// weighed returns a time that was told at that age, and its weight.
+func weighed(t, age time.Duration) (time.Duration, float64) {
+	if age >= holdTime || t == 0 {
 		return 0, 0
 	}
-	return h, 1 - float64(max(0, age))/float64(holdTime)
+	return t, 1 - float64(max(0, age))/float64(holdTime)
 }
 
 // Avoid keeps requests away until the time t unless there is no other
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"figwheel/link"
 	"figwheel/result"
 )
 
@@ -17,6 +18,9 @@
 	holdWeight = 0.05
 	// holdFirst is taken for that mean until the first request has ended.
 	holdFirst = 50 * time.Millisecond
+	// failCost is how many times its work a failed request costs: its caller has to
+	// come again, or gets nothing.
+	failCost = 4
 	// kindsMax bounds the kinds of requests whose means are kept.
 	kindsMax = 256
 	// enough is the part of its mean that a request needs to have left before
@@ -57,6 +61,7 @@
 	waiting []*waiter // in the order of arrival
 	hold    time.Duration
 	kinds   map[string]time.Duration // mean time by kind
+	failing float64                  // mean part of requests that the worker fails
 }
 
 type waiter struct {
@@ -214,10 +219,37 @@
 	return result.CallerGone
 }
 
+// Ending is how a request at the worker ended.
+type Ending int
+
+// The endings.
+const (
+	Answered  Ending = iota
+	Failed           // the worker answered by a failure of its own, or broke off
+	Abandoned        // it was given up, which says nothing of the worker
+)
+
 // Leave gives a slot back that a request of the kind held for the time held.
-func (g *Gate) Leave(now time.Time, kind string, held time.Duration) {
+func (g *Gate) Leave(now time.Time, kind string, held time.Duration, e Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// What fails at once says nothing of how long the work takes; a worker that
+	// does so would look fast. What was given up took at least as long.
+	if e == Answered || held > g.work(kind) {
+		g.learn(kind, held)
+	}
+	if e != Abandoned {
+		f := 0.0
+		if e == Failed {
+			f = 1
+		}
+		g.failing += holdWeight * (f - g.failing)
+	}
+	g.taken--
+	g.admit(now)
+}
+
+func (g *Gate) learn(kind string, held time.Duration) {
 	g.hold = moved(g.hold, held)
 	if _, ok := g.kinds[kind]; ok || len(g.kinds) < kindsMax {
 		if g.kinds == nil {
@@ -225,8 +257,6 @@
 		}
 		g.kinds[kind] = moved(g.kinds[kind], held)
 	}
-	g.taken--
-	g.admit(now)
 }
 
 // moved returns the mean m after one more value.
@@ -244,10 +274,14 @@
 	return g.taken + len(g.waiting)
 }
 
-// Load returns the requests inside and in the queue, and the mean time that
-// one holds a slot.
-func (g *Gate) Load() (inFlight int, hold time.Duration) {
+// Load returns what others go by: the requests inside and in the queue, the mean
+// time that one holds a slot, and that of the kind, dearer by the part that fails.
+func (g *Gate) Load(kind string) link.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.taken + len(g.waiting), g.hold
+	return link.Load{
+		InFlight: g.taken + len(g.waiting),
+		Hold:     g.hold,
+		Work:     time.Duration((1 + failCost*g.failing) * float64(g.kinds[kind])),
+	}
 }
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -19,7 +19,7 @@
 	for range 200 { // until the means have settled
 		for k, t := range kinds {
 			g.Enter(context.Background(), now, upstream.Ask{Kind: k})
-			g.Leave(now, k, t)
+			g.Leave(now, k, t, upstream.Answered)
 		}
 	}
 	g.Enter(context.Background(), now, upstream.Ask{})
@@ -74,7 +74,7 @@
 			var have []string
 			now := start
 			for range c.in {
-				g.Leave(now, "short", kinds["short"])
+				g.Leave(now, "short", kinds["short"], upstream.Answered)
 				have = append(have, <-got)
 				now = now.Add(kinds["short"])
 			}
@@ -126,3 +126,40 @@
 		})
 	}
 }
+
+// TestFailingIsDear lets a worker fail half of its requests at once: it must not
+// look fast, and one that was given up must not look like a failure.
+func TestFailingIsDear(t *testing.T) {
+	start := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	play := func(e upstream.Ending, held time.Duration) time.Duration {
+		var g upstream.Gate
+		g.SetLimits(1, 0, start)
+		for i := range 200 {
+			if c := g.Enter(context.Background(), start, upstream.Ask{Kind: "k"}); c != 0 {
+				t.Fatal(c)
+			}
+			if i%2 == 0 {
+				g.Leave(start, "k", 100*time.Millisecond, upstream.Answered)
+			} else {
+				g.Leave(start, "k", held, e)
+			}
+		}
+		return g.Load("k").Work
+	}
+	cases := []struct {
+		name      string
+		ending    upstream.Ending
+		held      time.Duration
+		low, high time.Duration
+	}{
+		{"answers", upstream.Answered, 100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"fails at once", upstream.Failed, time.Millisecond, 250 * time.Millisecond, 350 * time.Millisecond},
+		{"given up early", upstream.Abandoned, time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"given up late", upstream.Abandoned, 300 * time.Millisecond, 180 * time.Millisecond, 220 * time.Millisecond},
+	}
+	for _, c := range cases {
+		if w := play(c.ending, c.held); w < c.low || w > c.high {
+			t.Errorf("%s: %s, want %s to %s", c.name, w, c.low, c.high)
+		}
+	}
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -71,7 +71,7 @@
 	stop()
 	got = append(got, <-in) // the first in the queue hangs up
 	got = append(got, g.Enter(late, now, upstream.Ask{}))
-	g.Leave(now, "", time.Millisecond)
+	g.Leave(now, "", time.Millisecond, upstream.Answered)
 	got = append(got, <-in) // the second gets the slot
 	g.SetLimits(2, 0, now)
 	got = append(got, g.Enter(x, now, upstream.Ask{}), g.Enter(x, now, upstream.Ask{}))
@@ -79,8 +79,8 @@
 	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
-	g.Leave(now, "", time.Millisecond)
-	g.Leave(now, "", time.Millisecond)
+	g.Leave(now, "", time.Millisecond, upstream.Answered)
+	g.Leave(now, "", time.Millisecond, upstream.Answered)
 	if n := g.InFlight(); n != 0 {
 		t.Errorf("%d in flight at the end", n)
 	}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -123,11 +123,9 @@
 // InFlight returns the requests at the worker and waiting for it.
 func (k *Worker) InFlight() int { return k.gate.InFlight() }
 
-// Load returns what the worker's daemon tells others of its load.
-func (k *Worker) Load() link.Load {
-	n, h := k.gate.Load()
-	return link.Load{InFlight: n, Hold: h}
-}
+// Load returns what the worker's daemon tells others of its load, with what
+// requests of the kind take.
+func (k *Worker) Load(kind string) link.Load { return k.gate.Load(kind) }
 
 // SilentFor returns how long ago the worker last answered a request.
 func (k *Worker) SilentFor(now time.Time) time.Duration { return k.answered.Age(now) }
@@ -163,9 +161,10 @@
 		return hop.NotRun(c, "no slot of the worker became free")
 	}
 	began := q.Now()
+	e := Abandoned
 	defer func() {
 		t := q.Now()
-		k.gate.Leave(t, q.Kind, t.Sub(began))
+		k.gate.Leave(t, q.Kind, t.Sub(began), e)
 	}()
 	// The worker may have left, or another one come, while the request waited.
 	if s = k.state.Load(); s.Service != q.Service || !s.takes(began) {
@@ -173,11 +172,23 @@
 	}
 	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began)}
 	f := h.Do(x, w, r, q.Body)
+	e = ending(f)
 	k.note(x, s, &f, q.Now())
 	k.follow(x, s, r, q, level, f, began)
 	return f
 }
 
+// ending tells what the end of a request says about the worker.
+func ending(f hop.Result) Ending {
+	switch {
+	case f.OK() && f.Status < http.StatusInternalServerError:
+		return Answered
+	case f.Status >= http.StatusInternalServerError, f.Code == result.AnswerLost, f.Code == result.WrongAnswer:
+		return Failed
+	}
+	return Abandoned
+}
+
 // Fingerprint names the request r for workers.
 func (q Request) Fingerprint(r *http.Request) poison.Fingerprint {
 	return poison.Request{Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Origin: q.Origin, Body: q.Body.Kept()}.Fingerprint()
