--- a/daemon/control.go
+++ b/daemon/control.go
@@ -236,7 +236,7 @@
 		return err
 	}
 	o := c.announcement
-	if o.State == instance.Ready.String() && (a.ID != o.ID || a.Born > o.Born) {
+	if o.State == instance.Ready.String() && a.OtherStart(o) {
 		c.workerCrashed(now, "started again") // it never said that it leaves
 	}
 	c.announcement = a
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -37,6 +37,12 @@
 	ColdLeft time.Duration `json:"-"` // for which the worker is still slow
 }
 
+// OtherStart tells whether a comes from another start of the worker than o. A
+// start that o does not tell is not compared.
+func (a Announcement) OtherStart(o Announcement) bool {
+	return a.ID != o.ID || o.Born > 0 && a.Born > o.Born
+}
+
 // historyMax bounds the ids of earlier workers that are remembered.
 const historyMax = 32
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -95,3 +95,25 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestOtherStart compares what a worker says with what was known of it.
+func TestOtherStart(t *testing.T) {
+	known := upstream.Announcement{ID: "w", Born: 100}
+	cases := []struct {
+		name string
+		from upstream.Announcement
+		now  upstream.Announcement
+		want bool
+	}{
+		{"the same", known, known, false},
+		{"another id", known, upstream.Announcement{ID: "v", Born: 100}, true},
+		{"the same id, started again", known, upstream.Announcement{ID: "w", Born: 101}, true},
+		{"its start was not known", upstream.Announcement{ID: "w"}, known, false},
+		{"neither has an id", upstream.Announcement{}, upstream.Announcement{}, false},
+	}
+	for _, c := range cases {
+		if got := c.now.OtherStart(c.from); got != c.want {
+			t.Errorf("%s: %t", c.name, got)
+		}
+	}
+}
