hop: bound the heads of answers and what is read from the store

Cause: no transport bounded the head of an answer (10 MB by default, 5 % of a small machine for each request), and one answer of the store could take 64 MB. A daemon's code header without a number became 0, a whole answer that was never written. An incarnation near the top of its range wrapped to 0 when it was refuted.

--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -8,6 +8,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,6 +19,7 @@
 
 	"figwheel/daemon"
 	"figwheel/event"
+	"figwheel/hop"
 	"figwheel/platform"
 	"figwheel/settings"
 )
@@ -68,7 +70,7 @@
 		log.SetOutput(slog.NewLogLogger(l.Handler(), slog.LevelDebug).Writer()) // what libraries print
 		d, err := daemon.New(daemon.Options{
 			Settings: s,
-			Store:    platform.Client{Base: s.Platform},
+			Store:    platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: hop.NewTransport(0, platformDialTime, platformIdleTime)}},
 			Log:      l,
 			Now:      time.Now,
 			Seed:     uint64(time.Now().UnixNano()),
@@ -89,6 +91,11 @@
 	}}
 }
 
+const (
+	platformDialTime = 500 * time.Millisecond
+	platformIdleTime = 30 * time.Second
+)
+
 // edge returns what the daemon speaks to those that are not daemons, nil for
 // figwheel's own interface.
 func edge(s settings.Settings) *daemon.Edge {
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -22,6 +22,10 @@
 	tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
 
 	connBufferBytes = 2 << 10 // each way; heads fit and larger bodies bypass it
+
+	// headBytesMax bounds the head of an answer, in bytes: a peer in trouble may
+	// send one without end, and small machines hold many at a time.
+	headBytesMax = 16 << 10
 )
 
 // Prober returns the settings by which the kernel finds silent connections.
@@ -130,11 +134,12 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		MaxConnsPerHost:     n,
-		MaxIdleConnsPerHost: idlePerAddress,
-		IdleConnTimeout:     idle,
-		DisableCompression:  true,
-		ReadBufferSize:      connBufferBytes,
-		WriteBufferSize:     connBufferBytes,
+		MaxConnsPerHost:        n,
+		MaxIdleConnsPerHost:    idlePerAddress,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headBytesMax,
+		ReadBufferSize:         connBufferBytes,
+		WriteBufferSize:        connBufferBytes,
 	}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -302,13 +302,12 @@
 	}
 }
 
+// parseCode reads the code header of a daemon. One that cannot be read says
+// nothing; it must not become 0, which is a whole answer.
 func parseCode(s string) result.Code {
-	var n int
-	for _, c := range strings.TrimPrefix(s, "FW") {
-		if c < '0' || c > '9' {
-			return result.AnswerLost
-		}
-		n = n*10 + int(c-'0')
+	n, err := strconv.ParseUint(strings.TrimPrefix(s, "FW"), 10, 16)
+	if err != nil || n == 0 {
+		return result.AnswerLost
 	}
 	return result.Code(n)
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -43,10 +43,13 @@
 	return Load{n, micros(b), micros(c)}, true
 }
 
+// toldMax bounds the times that an instance is believed to need.
+const toldMax = time.Hour
+
 // micros reads a time, 0 for one that is not told.
 func micros(s string) time.Duration {
 	us, err := strconv.ParseInt(s, 10, 64)
-	if err != nil || us < 0 {
+	if err != nil || us < 0 || us > toldMax.Microseconds() {
 		return 0
 	}
 	return time.Duration(us) * time.Microsecond
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -77,8 +77,12 @@
 	return r
 }
 
-// ToRecords returns the records of messages; those without a name or with an
-// unknown state are dropped.
+// incarnationMax is far above any that a daemon gives itself, the milliseconds
+// of its start, and far below what a refutation would wrap around.
+const incarnationMax = 1 << 60
+
+// ToRecords returns the records of messages; those without a name, with an
+// unknown state or with an incarnation that no daemon gives itself are dropped.
 func ToRecords(l []*peerpb.Record) []instance.Record {
 	r := make([]instance.Record, 0, len(l))
 	for _, p := range l {
@@ -93,7 +97,7 @@
 			Health:      instance.Health(p.GetHealth()),
 			Slots:       p.GetSlots(),
 		}
-		if m.Name == "" || m.State < instance.Starting || m.State > instance.Left || m.Health < instance.Alive || m.Health > instance.Dead {
+		if m.Name == "" || m.Incarnation > incarnationMax || m.State < instance.Starting || m.State > instance.Left || m.Health < instance.Alive || m.Health > instance.Dead {
 			continue
 		}
 		r = append(r, m)
