caller: notice a caller that leaves while its further requests wait

Cause: net/http watches a connection by a read of one byte while it answers. The byte of a further request ends that read, and the work for a caller that leaves then goes on to its end (TestCallerLeavesWithRequestsWaiting failed for one byte, one and fifty further requests; not for none).

caller.Connection reads ahead, at most 4 KB, and ends the contexts of the connection's requests when the caller has left. Ruled out: asking the kernel for a hang-up, a system call on a timer for each connection.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -107,8 +107,24 @@
 	return s.Close()
 }
 
+// startCallers is start for the address that callers use.
+func (s *servers) startCallers(a net.Listener, h http.Handler) *server {
+	l := newLastingListener(a)
+	return s.serve(l, callerListener{l}, h, func(x context.Context, c net.Conn) context.Context {
+		if k, ok := c.(*caller.Connection); ok {
+			return k.Context(x)
+		}
+		return x
+	})
+}
+
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newLastingListener(a)
+	return s.serve(l, l, h, nil)
+}
+
+// serve answers the connections that o accepts, which takes them from l.
+func (s *servers) serve(l *lastingListener, o net.Listener, h http.Handler, x func(context.Context, net.Conn) context.Context) *server {
 	c := &connections{}
 	var p http.Protocols
 	p.SetHTTP1(true)
@@ -120,11 +136,12 @@
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytesMax,
 		ConnState:         c.changed,
+		ConnContext:       x,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 	s.group.Go(func() error {
 		defer close(l.ended)
-		if err := v.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := v.Serve(o); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -137,7 +154,7 @@
 	s := &servers{}
 	e := d.edge.Headers
 	s.work = []*server{
-		s.start(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.source(), Headers: e, Origin: d.settings.Service}),
+		s.startCallers(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.source(), Headers: e, Origin: d.settings.Service}),
 		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e}),
 	}
 	p := http.NewServeMux()
