hop: tie each answer to its request on figwheel's own interface

Cause: answers on the own interface carried no request id. A late second copy of an answer on a reused connection went to the next caller (TestLateSecondAnswer failed: the request /1 got the answer to /0).

Requests to workers now carry Figwheel-Exchange. An answer that names another exchange is nobody's; the connection of an answer that names none is used for no other request. On both interfaces a connection that brought a wrong answer is closed, also when the wrong one had no body, which net/http would reuse.

The worker of TestNotSentAgainOnAReusedConnection names its exchange now: without that its connection is not reused, and the test would no longer play its case. Its expectation is unchanged.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -500,7 +500,7 @@
 		t.Run(method, func(t *testing.T) {
 			var runs atomic.Int64
 			w := raw(t, &runs, func(c net.Conn) {
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nFigwheel-Exchange: 1\r\nContent-Length: 2\r\n\r\nok")
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 					runs.Add(1) // run, and the answer lost
 				}
@@ -551,3 +551,44 @@
 		t.Errorf("%d bytes, want at most %d:\n%s", len(b), bytesMax, b)
 	}
 }
+
+// TestLateSecondAnswer has a worker send its answer a second time when the next
+// request comes on the connection. Its caller never gets the answer to another
+// request, whether the worker tells which request it answers or not.
+func TestLateSecondAnswer(t *testing.T) {
+	for name, echoes := range map[string]bool{"it tells": true, "it does not tell": false} {
+		t.Run(name, func(t *testing.T) {
+			a := listen(t, func(c net.Conn) {
+				b := bufio.NewReader(c)
+				var before string
+				for {
+					q, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					id := ""
+					if echoes {
+						id = "Figwheel-Exchange: " + q.Header.Get("Figwheel-Exchange") + "\r\n"
+					}
+					now := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(q.URL.Path), q.URL.Path)
+					_, _ = io.WriteString(c, before+now)
+					before = now
+				}
+			})
+			e, _ := mesh(t, a)
+			for i := range 20 {
+				path := fmt.Sprintf("/%d", i)
+				g := send(t, request(t, e, http.MethodPost, path, nil))
+				if g.Status == http.StatusOK && g.Body != path {
+					t.Fatalf("the request %s got the answer to %s", path, g.Body)
+				}
+				if !echoes && g.Status != http.StatusOK {
+					t.Errorf("the request %s: %+v", path, g)
+				}
+				if g.Status != http.StatusOK && g.Outcome != "unknown" {
+					t.Errorf("the request %s may have run: %+v", path, g)
+				}
+			}
+		})
+	}
+}
--- a/contract/headers.go
+++ b/contract/headers.go
@@ -9,10 +9,11 @@
 	Origin    string // service of the worker beside which a request began
 	Target    string // id of the only worker that may run the request
 	NotRun    string // set in an answer: the worker did not run the request
+	Exchange  string // of one request on one connection, where there is no RequestID; workers may echo it
 }
 
 // OwnHeaders are those of figwheel's own interface.
-func OwnHeaders() Headers { return Headers{Deadline: DeadlineHeader} }
+func OwnHeaders() Headers { return Headers{Deadline: DeadlineHeader, Exchange: ExchangeHeader} }
 
 // Passes tells whether a header that starts with HeaderPrefix goes on to the
 // worker or back to the caller as it is.
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -46,6 +46,7 @@
 	CodeHeader     = "Figwheel-Code"
 	DeadlineHeader = "Figwheel-Deadline-Ms"
 	DepthHeader    = "Figwheel-Depth"
+	ExchangeHeader = "Figwheel-Exchange"
 
 	ServiceHeader = "Figwheel-Service"
 	ReleaseHeader = "Figwheel-Release"
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -113,6 +113,15 @@
 	s.reused = i.Reused
 }
 
+// end makes the connection's first request its last. What it still brings
+// then belongs to no later request.
+func (s *sent) end() {
+	if s.conn != nil {
+		s.conn.seal()
+		_ = s.conn.Close()
+	}
+}
+
 // nothing tells whether no byte of the request was or will be written.
 func (s *sent) nothing() bool {
 	if s.opaque || s.repeated {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -22,6 +22,7 @@
 	Daemon    bool   // the next one is a daemon, whose Figwheel headers count
 	Headers   contract.Headers
 	Set       []Field
+	Exchange  string // that identifies the answer; see contract.Headers
 
 	// HoldBack keeps an answer without a length back until it is whole, as far
 	// as it fits a buffer. Answers with a length that fits always are.
@@ -91,7 +92,17 @@
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
-	return h.answered(w, r, p), false
+	f := h.answered(w, r, p)
+	if f.Code == result.WrongAnswer || !h.identified(p) {
+		s.end()
+	}
+	return f, false
+}
+
+// identified tells whether p says which request it answers. A second copy of
+// an answer that does not may come late, when the next request is on its way.
+func (h Hop) identified(p *http.Response) bool {
+	return h.Daemon || h.Exchange == "" || p.Header.Get(h.Headers.Exchange) != ""
 }
 
 // answered passes the answer p on or tells why it must not be.
@@ -163,6 +174,9 @@
 func (h Hop) verdict(r *http.Request, p *http.Response) Result {
 	n := h.Headers
 	if n.RequestID == "" {
+		if e := p.Header.Get(n.Exchange); n.Exchange != "" && e != "" && e != h.Exchange {
+			return unknown(result.WrongAnswer, "the answer is to the exchange "+e)
+		}
 		return Result{}
 	}
 	id := p.Header.Get(n.RequestID)
@@ -199,6 +213,9 @@
 	if _, ok := q.Header["User-Agent"]; !ok {
 		q.Header["User-Agent"] = []string{""} // else net/http adds its own
 	}
+	if h.Exchange != "" {
+		q.Header[h.Headers.Exchange] = []string{h.Exchange}
+	}
 	for _, f := range h.Set {
 		q.Header[f.Name] = []string{f.Value}
 	}
--- a/upstream/upstreamtest/worker.go
+++ b/upstream/upstreamtest/worker.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
 
+	"figwheel/contract"
 	"figwheel/upstream"
 )
 
@@ -86,6 +87,7 @@
 	if k.Work > 0 {
 		time.Sleep(k.Work)
 	}
+	w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
 	w.Header().Set(ServiceHeader, k.Service)
 	w.Header().Set(NameHeader, k.Name)
 	_, _ = w.Write(Answer(k.Service, id, b))
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,8 @@
 
 	suspects atomic.Pointer[poison.List]
 
+	exchanges atomic.Uint64 // requests that were sent, see exchange
+
 	mu      sync.Mutex
 	crashes poison.Watch
 	broken  atomic.Bool // whether crashes has any request
@@ -170,7 +173,7 @@
 	if s = k.state.Load(); s.Service != q.Service || !s.takes(began) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
-	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began)}
+	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began), Exchange: k.exchange()}
 	f := h.Do(x, w, r, q.Body)
 	e = ending(f)
 	k.note(x, s, &f, q.Now())
@@ -178,6 +181,15 @@
 	return f
 }
 
+// exchange returns the id of the next request to the worker, empty where
+// requests have ids of their own.
+func (k *Worker) exchange() string {
+	if k.Headers.Exchange == "" {
+		return ""
+	}
+	return strconv.FormatUint(k.exchanges.Add(1), 10)
+}
+
 // ending tells what the end of a request says about the worker.
 func ending(f hop.Result) Ending {
 	switch {
