daemon: survive unexpected errors, doubt a late ready after a restart

An unexpected error on the control goroutine or in a task ended the process, and one bad configuration would have ended every daemon that read it. Panics of handlers were swallowed by net/http without a log line and are logged too. TestUnexpectedErrors ended the test binary before.

After a daemon's restart, a late announcement that a worker is ready was believed although an earlier process had acknowledged that it leaves.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -202,10 +202,12 @@
 	}
 	c.watching = true
 	c.start(func(x context.Context) {
+		defer func() {
+			_ = c.d.do(x, func(c *control) { c.watching = false })
+		}()
 		c.d.event(x, event.WatchStarted)
 		c.d.watch(x)
 		c.d.event(x, event.WatchEnded)
-		_ = c.d.do(x, func(c *control) { c.watching = false })
 	})
 }
 
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -40,20 +40,26 @@
 	c.pollJitter = c.random.Float64()
 	c.poll.Began(now)
 	c.start(func(x context.Context) {
-		err := c.d.readConfig(x)
-		_ = c.d.do(x, func(c *control) {
-			c.polling = false
-			c.platformAnswered(err)
-			c.poll.Ended(now, err == nil)
-			if err == nil {
-				c.confirm(now)
-				c.configKnown = true
-				c.advance()
-			}
-		})
+		var err error = result.New(result.BadAnswer, "the read ended unexpectedly")
+		defer func() {
+			_ = c.d.do(x, func(c *control) { c.polled(now, err) })
+		}()
+		err = c.d.readConfig(x)
 	})
 }
 
+// polled notes how a read ended that began at the time t.
+func (c *control) polled(t time.Time, err error) {
+	c.polling = false
+	c.platformAnswered(err)
+	c.poll.Ended(t, err == nil)
+	if err == nil {
+		c.confirm(t)
+		c.configKnown = true
+		c.advance()
+	}
+}
+
 // readConfig reads the platform's configuration once.
 func (d *Daemon) readConfig(x context.Context) error {
 	y, stop := context.WithTimeout(x, configTime)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -63,6 +63,7 @@
 	polling       bool
 	pollJitter    float64
 	configVersion string          // of its object when it was read last
+	workerUnready bool            // the worker said so after the start, and has not announced itself since
 	faults        map[string]bool // of configurations, that were logged
 	reachable     bool            // the platform answered last time
 	answered      map[string]bool
@@ -134,9 +135,9 @@
 		select {
 		case <-x.Done():
 		case f := <-c.d.requests:
-			f(c)
+			c.d.guard("request", func() { f(c) })
 		case <-k.C:
-			c.tick(c.d.now())
+			c.d.guard("tick", func() { c.tick(c.d.now()) })
 		case <-e.C:
 			spread = c.d.now()
 			pending = false
@@ -169,7 +170,7 @@
 func (c *control) start(f func(x context.Context)) {
 	c.running++
 	go func() {
-		f(c.x)
+		c.d.guard("task", func() { f(c.x) })
 		c.ended <- struct{}{}
 	}()
 }
@@ -230,13 +231,23 @@
 	c.describe(now)
 }
 
-// announce takes over what the worker says of itself.
+// announce takes over what the worker says of itself. After a start of this
+// daemon nothing is known of what an earlier process acknowledged: if the worker
+// has just said that it is not ready, the first announcement that it is may be
+// a late one of a worker that is leaving, and the next one decides.
 func (c *control) announce(a upstream.Announcement, now time.Time) error {
 	a, err := c.history.Take(a)
 	if err != nil {
 		c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
 		return err
 	}
+	if c.workerUnready {
+		c.workerUnready = false
+		if a.State == instance.Ready.String() {
+			c.d.event(c.x, event.AnnouncementDoubted, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence))
+			return nil
+		}
+	}
 	o := c.announcement
 	if o.State == instance.Ready.String() && a.OtherStart(o) {
 		c.workerCrashed(now, "started again") // it never said that it leaves
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -150,7 +152,7 @@
 func (d *Daemon) do(x context.Context, f func(*control)) error {
 	done := make(chan struct{})
 	select {
-	case d.requests <- func(c *control) { f(c); close(done) }:
+	case d.requests <- func(c *control) { defer close(done); f(c) }:
 		<-done // what control took, it runs
 		return nil
 	case <-d.stopped:
@@ -221,6 +223,21 @@
 	return f.(func() ([]byte, error))()
 }
 
+// guard runs f. An unexpected error in it, as after a message that no peer
+// should send, ends f and not the process, which carries requests of others.
+func (d *Daemon) guard(what string, f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.panicked(what, p)
+		}
+	}()
+	f()
+}
+
+func (d *Daemon) panicked(what string, cause any) {
+	d.event(context.Background(), event.Panicked, slog.String("What", what), slog.String("Cause", fmt.Sprint(cause)), slog.String("Stack", string(debug.Stack())))
+}
+
 // pause waits for t or the end of x and tells whether x goes on.
 func pause(x context.Context, t time.Duration) bool {
 	k := time.NewTimer(t)
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -109,9 +109,13 @@
 			c.d.event(x, event.WorkerSilent, slog.String("Address", a), slog.String("Cause", err.Error()))
 			return
 		}
-		if id != "" {
-			_ = c.d.do(x, func(c *control) { c.foundWorker(id, c.d.now()) })
-		}
+		_ = c.d.do(x, func(c *control) {
+			if id == "" {
+				c.workerUnready = c.announcement.Service == ""
+				return
+			}
+			c.foundWorker(id, c.d.now())
+		})
 	})
 }
 
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -146,6 +146,9 @@
 	}
 	from := c.newsFrom
 	c.start(func(x context.Context) {
+		defer func() {
+			_ = c.d.do(x, func(c *control) { delete(c.fetching, hash) })
+		}()
 		needed := false
 		if pause(x, w) {
 			_ = c.d.do(x, func(c *control) { needed = c.known.Needs(hash, c.serving.Number()) })
@@ -153,7 +156,6 @@
 		if needed {
 			_, _ = c.d.content(x, hash, from, nil)
 		}
-		_ = c.d.do(x, func(c *control) { delete(c.fetching, hash) })
 	})
 }
 
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -324,3 +324,30 @@
 		t.Errorf("%d reads within %s, where %d are paced", n, span, paced)
 	}
 }
+
+// TestUnexpectedErrors has the decoder fail in a way that nobody foresaw for one
+// version, and a message do so on the control goroutine: every daemon goes on
+// serving what it has and takes the next version.
+func TestUnexpectedErrors(t *testing.T) {
+	m := newManagedFleet(t, 4)
+	m.serving(1)
+	var failed atomic.Int64
+	decode := m.edge.DecodeConfig
+	for _, d := range m.daemons {
+		d.edge.DecodeConfig = func(b []byte) (site.Table, []error, error) {
+			if bytes.Contains(b, []byte(`"Number":2`)) {
+				failed.Add(1)
+				panic("index out of range")
+			}
+			return decode(b)
+		}
+		if err := d.do(t.Context(), func(*control) { panic("nil map") }); err != nil {
+			t.Error(err)
+		}
+	}
+	m.write(2)
+	m.wait("somebody reads version 2", func() bool { return failed.Load() >= 2 })
+	m.serving(1)
+	m.write(3)
+	m.serving(3)
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -87,6 +87,7 @@
 
 // servers are the HTTP servers; work holds those that carry calls.
 type servers struct {
+	daemon  *Daemon
 	work    []*server
 	control []*server
 	group   errgroup.Group
@@ -130,7 +131,7 @@
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
 	v := &http.Server{
-		Handler:           h,
+		Handler:           s.daemon.logPanics(h),
 		Protocols:         &p,
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
@@ -149,9 +150,27 @@
 	return &server{v, l, c}
 }
 
+// logPanics logs the unexpected errors of h, after which net/http closes the
+// connection.
+func (d *Daemon) logPanics(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				d.panicked(r.Method+" "+r.URL.Path, p)
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) serve() *servers {
 	t := hop.NewTransport(0, linkDialTime, linkIdleTime)
-	s := &servers{}
+	s := &servers{daemon: d}
 	e := d.edge.Headers
 	s.work = []*server{
 		s.startCallers(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.source(), Headers: e, Origin: d.settings.Service}),
--- a/event/event.go
+++ b/event/event.go
@@ -49,6 +49,8 @@
 	RequestCleared
 	WorkerFound
 	WorkerSilent
+	AnnouncementDoubted
+	Panicked
 )
 
 // Events of the platform.
@@ -107,6 +109,8 @@
 	{RequestCleared, "RequestCleared", slog.LevelInfo, "A worker answered a request that was suspected of crashing workers."},
 	{WorkerFound, "WorkerFound", slog.LevelInfo, "The worker answered after the daemon's start, before its announcement."},
 	{WorkerSilent, "WorkerSilent", slog.LevelInfo, "The worker did not answer after the daemon's start; its announcement is waited for."},
+	{AnnouncementDoubted, "AnnouncementDoubted", slog.LevelInfo, "After the daemon's start the worker said that it is not ready; its next announcement decides."},
+	{Panicked, "Panicked", slog.LevelError, "A task or a message ended by an unexpected error; the daemon goes on without it."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; what is in force stays served."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
