hop: offer large bodies before sending them; fix closing of reused connections

Large bodies. A refusal then cost those bytes, and one that came while they were sent broke the connection, so that a request which no worker had seen became 502.

Bodies of 8 KB and more go between daemons with Expect: 100-continue. The gate says before they are read whether it will take them (Gate.Expect: slots, goal, what the link carries, 16 MB at a time); a body of up to 512 KB is read before the slot is taken, so that a slot is not held by the link. A sender that never handed out a byte of such a body knows that it was not run. LinkMbps is a new setting.

Reused connections. Requests have a connection of their own now until a worker has named an exchange once, and a connection that brought a wrong answer is retired, not closed.

--- a/caller/edge_test.go
+++ b/caller/edge_test.go
@@ -40,11 +40,17 @@
 
 // platformMesh returns an entry node before one node for each worker.
 func platformMesh(t testing.TB, workers ...string) *node {
+	t.Helper()
+	return platformMeshTaking(t, 100, workers...)
+}
+
+// platformMeshTaking is platformMesh for bodies of at most that many bytes.
+func platformMeshTaking(t testing.TB, bodyBytes int64, workers ...string) *node {
 	t.Helper()
 	e := platformNode(t)
 	c := site.Table{
 		Number:   7,
-		Limits:   site.Limits{BodyBytes: 100},
+		Limits:   site.Limits{BodyBytes: bodyBytes},
 		Services: []site.Service{{Name: "s", Connections: 10}},
 		Routes: []site.Route{
 			{Name: "twice", Host: "h.example", PathPrefix: "/twice/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 300 * time.Millisecond, Attempts: 2},
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -166,8 +166,8 @@
 	}
 	x, stop := context.WithDeadline(r.Context(), d.Add(verdictTime))
 	defer stop()
-	c.body, err = hop.NewBody(w, r)
-	if err != nil {
+	c.body = hop.NewBody(w, r)
+	if err := c.body.Load(x); err != nil {
 		return hop.NotRun(result.CallerGone, err.Error())
 	}
 	if h.refuses(c, r, now) {
--- a/caller/link.go
+++ b/caller/link.go
@@ -63,17 +63,13 @@
 	if err != nil {
 		return hop.NotRun(result.BadDeadline, err.Error())
 	}
-	b, err := hop.NewBody(w, r)
-	if err != nil {
-		return hop.NotRun(result.CallerGone, err.Error())
-	}
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
 	q := upstream.Request{
 		Ask:     upstream.Ask{Kind: r.Header.Get(contract.KindHeader), Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
 		Service: r.Header.Get(contract.ServiceHeader),
 		Origin:  r.Header.Get(contract.OriginHeader),
-		Body:    b,
+		Body:    hop.NewBody(w, r),
 		Now:     h.Now,
 		Before:  func(a http.Header) { h.addLoad(a, r) },
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,6 +76,9 @@
 	callLines *rate.Limiter // of the log about calls that were answered
 }
 
+// bytesPerMegabit converts the unit of the settings for links.
+const bytesPerMegabit = 1e6 / 8
+
 // callLinesRate is how many of those lines a second the settings leave open.
 const callLinesRate = 100
 
@@ -106,6 +109,7 @@
 	}
 	d.worker.Headers = d.edge.Headers
 	d.worker.HoldBack = d.edge.HoldBack
+	d.worker.SetLink(o.Settings.LinkMbps * bytesPerMegabit)
 	d.worker.Unreachable = d.unreachable
 	d.worker.Cleared = d.cleared
 	d.peers = peer.NewClient(&d.meter, o.Dial)
--- a/hop/body.go
+++ b/hop/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -9,48 +10,86 @@
 	"time"
 )
 
-// bufferBytesMax bounds the bodies that are kept so that another attempt can
-// send them again, in bytes.
-const bufferBytesMax = 64 << 10
+const (
+	// keptBytesMax bounds the bodies that are read before they are sent on, so
+	// that another attempt can send them again, in bytes.
+	keptBytesMax = 512 << 10
+
+	// largeBytesMin is the size from which a body is offered to the next daemon
+	// before it is sent: on a thin link its bytes cost more than a round trip.
+	largeBytesMin = 8 << 10
+)
 
 // Body is the body of a request that may be sent by more than one attempt.
 type Body struct {
-	kept      []byte
-	stream    io.ReadCloser
 	length    int64
-	read      atomic.Bool
+	source    io.Reader // of a body that is kept
+	stream    io.Reader // of one that is passed on while it arrives
 	interrupt func()
+
+	once sync.Once
+	kept []byte
+	err  error // why kept is not whole
+
+	loaded atomic.Bool
+	read   atomic.Bool // whether an attempt took any of it
 }
 
-// NewBody takes the body of r, which w answers. A small one of known length is
-// read at once; an error means that the caller did not send what it promised.
-// A larger one is passed on while it arrives, at the same time as the answer.
-func NewBody(w http.ResponseWriter, r *http.Request) (*Body, error) {
-	if r.ContentLength == 0 {
-		return &Body{}, nil
+// NewBody takes the body of r, which w answers, without reading it. One of
+// known length that is not too long is kept as a whole when it is first needed.
+// Any other one is passed on while it arrives, at the same time as the answer.
+func NewBody(w http.ResponseWriter, r *http.Request) *Body {
+	c := http.NewResponseController(w)
+	b := &Body{length: r.ContentLength, interrupt: func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }}
+	switch {
+	case r.ContentLength == 0:
+		b.loaded.Store(true)
+	case r.ContentLength > 0 && r.ContentLength <= keptBytesMax:
+		b.source = r.Body
+	default:
+		_ = c.EnableFullDuplex() // HTTP/2 always is
+		b.stream = r.Body
 	}
-	if r.ContentLength > 0 && r.ContentLength <= bufferBytesMax {
-		b := &Body{kept: make([]byte, r.ContentLength), length: r.ContentLength}
-		_, err := io.ReadFull(r.Body, b.kept)
-		return b, err
+	return b
+}
+
+// Load reads a body that is kept. An error means that the caller did not send
+// what it promised before x ended; its connection is of no more use.
+func (b *Body) Load(x context.Context) error {
+	if b.source == nil {
+		return nil
 	}
-	c := http.NewResponseController(w)
-	_ = c.EnableFullDuplex() // HTTP/2 always is
-	return &Body{
-		stream:    r.Body,
-		length:    r.ContentLength,
-		interrupt: func() { _ = c.SetReadDeadline(time.Unix(1, 0)) },
-	}, nil
+	b.once.Do(func() {
+		defer context.AfterFunc(x, b.interrupt)()
+		k := make([]byte, b.length)
+		if _, b.err = io.ReadFull(b.source, k); b.err == nil {
+			b.kept = k
+			b.loaded.Store(true)
+		}
+	})
+	return b.err
 }
 
-// Kept returns the body if it was small enough to be kept, nil otherwise.
+// Kept returns the body if it was read, nil otherwise.
 func (b *Body) Kept() []byte {
-	if b == nil {
+	if b == nil || !b.loaded.Load() {
 		return nil
 	}
 	return b.kept
 }
 
+// Arriving returns the bytes of a large body that is still to be read, 0 for
+// any other.
+func (b *Body) Arriving() int64 {
+	if b.stream != nil || b.loaded.Load() || b.length < largeBytesMin {
+		return 0
+	}
+	return b.length
+}
+
+// large tells whether a daemon is asked before the body is sent to it.
+func (b *Body) large() bool { return b.length < 0 || b.length >= largeBytesMin }
+
 // Replayable tells whether another attempt can send the whole body.
 func (b *Body) Replayable() bool { return b.stream == nil || !b.read.Load() }
 
@@ -64,16 +103,29 @@
 		r := &streamReader{b: b}
 		return r, r.stop
 	case b.length > 0:
-		return keptReader{bytes.NewReader(b.kept)}, func() {}
+		return &keptReader{b: b, from: bytes.NewReader(b.Kept())}, func() {}
 	}
 	return http.NoBody, func() {}
 }
 
 // keptReader is a body that needs no closing.
-type keptReader struct{ *bytes.Reader }
+type keptReader struct {
+	b    *Body
+	from *bytes.Reader
+}
+
+// Read implements io.Reader.
+func (r *keptReader) Read(p []byte) (int, error) {
+	r.b.read.Store(true)
+	return r.from.Read(p)
+}
 
 // Close implements io.Closer.
-func (keptReader) Close() error { return nil }
+func (*keptReader) Close() error { return nil }
+
+// heldBack tells whether a daemon to which the request was sent cannot have run
+// it: nothing of its body was handed out, without which none runs it.
+func (b *Body) heldBack() bool { return b.stream == nil && b.large() && !b.read.Load() }
 
 type streamReader struct {
 	b    *Body
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,10 @@
 
 	connBufferBytes = 2 << 10 // each way; heads fit and larger bodies bypass it
 
+	// expectTime bounds how long a daemon may take to say whether it wants a
+	// large body. It is longer than any wait for a slot that a request outlives.
+	expectTime = 10 * time.Minute
+
 	// headBytesMax bounds the head of an answer, in bytes: a peer in trouble may
 	// send one without end, and small machines hold many at a time.
 	headBytesMax = 16 << 10
@@ -54,6 +59,8 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+
+	retired atomic.Bool // takes no further request
 }
 
 // Write implements net.Conn.
@@ -111,14 +118,17 @@
 	s.conn = c
 	s.before = c.written()
 	s.reused = i.Reused
+	if c.retired.Load() {
+		c.seal() // fails before anything is written, and another is taken
+	}
 }
 
-// end makes the connection's first request its last. What it still brings
-// then belongs to no later request.
-func (s *sent) end() {
+// retire keeps later requests off the connection: what it still brings belongs
+// to none of them. One that has got it already goes on; net/http hands a
+// connection out again as soon as an answer without a body has come.
+func (s *sent) retire() {
 	if s.conn != nil {
-		s.conn.seal()
-		_ = s.conn.Close()
+		s.conn.retired.Store(true)
 	}
 }
 
@@ -148,6 +158,7 @@
 		IdleConnTimeout:        idle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: headBytesMax,
+		ExpectContinueTimeout:  expectTime,
 		ReadBufferSize:         connBufferBytes,
 		WriteBufferSize:        connBufferBytes,
 	}
--- a/hop/endless_test.go
+++ b/hop/endless_test.go
@@ -103,12 +103,7 @@
 					r := httptest.NewRequest(http.MethodGet, "http://h.example/", nil)
 					r.Header.Set("Figwheel-Attempt-Id", "1")
 					w := &slowCaller{header: http.Header{}, gone: x.Done()}
-					b, err := hop.NewBody(w, r)
-					if err != nil {
-						faults <- err.Error()
-						return
-					}
-					f := h.Do(x, w, r, b)
+					f := h.Do(x, w, r, hop.NewBody(w, r))
 					if !c.proven && x.Err() != nil {
 						faults <- "not given up"
 					}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"figwheel/contract"
 	"figwheel/result"
@@ -23,6 +24,10 @@
 	Headers   contract.Headers
 	Set       []Field
 	Exchange  string // that identifies the answer; see contract.Headers
+	// Echoes tells whether answers of the address name their exchange. Until one
+	// has, each request has a connection of its own: a late second copy of its
+	// answer then meets no other request. May be nil without an Exchange.
+	Echoes *atomic.Bool
 
 	// HoldBack keeps an answer without a length back until it is whole, as far
 	// as it fits a buffer. Answers with a length that fits always are.
@@ -86,25 +91,24 @@
 	d, stop := b.attempt()
 	defer stop()
 	var s sent
-	p, err := h.Transport.RoundTrip(h.request(s.trace(x), r, d, b.length))
+	q := h.request(s.trace(x), r, d, b.length)
+	if h.Daemon && b.large() {
+		q.Header["Expect"] = []string{"100-continue"}
+	}
+	p, err := h.Transport.RoundTrip(q)
 	if err != nil {
-		f := broken(x, err, s.nothing())
+		nothing := s.nothing() // also keeps the connection from sending more
+		f := broken(x, err, nothing || h.Daemon && b.heldBack())
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
 	f := h.answered(w, r, p)
-	if f.Code == result.WrongAnswer || !h.identified(p) {
-		s.end()
+	if f.Code == result.WrongAnswer {
+		s.retire()
 	}
 	return f, false
 }
 
-// identified tells whether p says which request it answers. A second copy of
-// an answer that does not may come late, when the next request is on its way.
-func (h Hop) identified(p *http.Response) bool {
-	return h.Daemon || h.Exchange == "" || p.Header.Get(h.Headers.Exchange) != ""
-}
-
 // answered passes the answer p on or tells why it must not be.
 func (h Hop) answered(w http.ResponseWriter, r *http.Request, p *http.Response) Result {
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
@@ -174,10 +178,7 @@
 func (h Hop) verdict(r *http.Request, p *http.Response) Result {
 	n := h.Headers
 	if n.RequestID == "" {
-		if e := p.Header.Get(n.Exchange); n.Exchange != "" && e != "" && e != h.Exchange {
-			return unknown(result.WrongAnswer, "the answer is to the exchange "+e)
-		}
-		return Result{}
+		return h.exchangeVerdict(p)
 	}
 	id := p.Header.Get(n.RequestID)
 	notRun := p.Header.Get(n.NotRun) != ""
@@ -196,6 +197,23 @@
 	return Result{}
 }
 
+// exchangeVerdict is verdict where requests have no ids of their own.
+func (h Hop) exchangeVerdict(p *http.Response) Result {
+	if h.Exchange == "" {
+		return Result{}
+	}
+	e := p.Header.Get(h.Headers.Exchange)
+	switch {
+	case e == h.Exchange:
+		h.Echoes.Store(true)
+	case e != "":
+		return unknown(result.WrongAnswer, "the answer is to the exchange "+e)
+	case h.Echoes.Swap(false): // another worker may have taken over the address
+		return unknown(result.WrongAnswer, "the answer names no exchange, as earlier ones did")
+	}
+	return Result{}
+}
+
 func (h Hop) request(x context.Context, r *http.Request, d io.ReadCloser, length int64) *http.Request {
 	q := &http.Request{
 		Method:        r.Method,
@@ -214,6 +232,7 @@
 		q.Header["User-Agent"] = []string{""} // else net/http adds its own
 	}
 	if h.Exchange != "" {
+		q.Close = !h.Echoes.Load()
 		q.Header[h.Headers.Exchange] = []string{h.Exchange}
 	}
 	for _, f := range h.Set {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/url"
 	"os"
@@ -51,6 +52,8 @@
 	CollectorPercent int `yaml:"CollectorPercent"` // heap growth at which garbage is collected; 0 is 400
 	LogRate          int `yaml:"LogRate"`          // lines a second about calls that were answered; 0 is 100
 
+	LinkMbps float64 `yaml:"LinkMbps"` // that the instance's own link carries; 0 if that is not known
+
 	RetryPercent int `yaml:"RetryPercent"` // of the requests of a service may be sent again, where it does not say itself
 	RetryBurst   int `yaml:"RetryBurst"`   // retries of a service that all daemons together may send at once
 }
@@ -233,6 +236,9 @@
 	if s.RetryPercent < 0 || s.RetryPercent > 100 || s.RetryBurst < 0 {
 		fail("RetryPercent takes 0 to 100 and RetryBurst no less than 0, not %d and %d", s.RetryPercent, s.RetryBurst)
 	}
+	if s.LinkMbps < 0 || math.IsNaN(s.LinkMbps) {
+		fail("LinkMbps is %v, less than 0", s.LinkMbps)
+	}
 	var l slog.Level
 	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
 		fail("LogLevel %q is not Debug, Info, Warn or Error", s.LogLevel)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -31,6 +31,8 @@
 	// a queue that just reaches the goals on average misses half of them, while
 	// a shorter one keeps the slots as busy.
 	goalShare = 0.7
+	// arrivingBytesMax bounds the bodies that are taken at a time, in bytes.
+	arrivingBytesMax = 16 << 20
 	// crowd is how many of the waiting that reach their goals, for each slot, it
 	// takes for those that no longer do to be sent away.
 	crowd    = 0.5
@@ -62,6 +64,10 @@
 	hold    time.Duration
 	kinds   map[string]time.Duration // mean time by kind
 	failing float64                  // mean part of requests that the worker fails
+
+	link     float64 // bytes a second that the instance's link carries, 0 if unknown
+	coming   int     // requests whose large bodies are on their way
+	arriving int64   // bytes of these bodies
 }
 
 type waiter struct {
@@ -187,6 +193,52 @@
 	return g.giveUp(x, w, now)
 }
 
+// SetLink sets the bytes a second that the instance's link carries, 0 if that
+// is not known.
+func (g *Gate) SetLink(bytes float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link = bytes
+}
+
+// Expect tells whether to take the body of a request, of n bytes; the error is
+// the number of why not. Arrived has to follow once it is here or given up. It
+// answers a load that the link bounds and not the slots: a body that comes for
+// nothing takes the link's time from others, and so do more of them at a time
+// than reach their goals.
+func (g *Gate) Expect(now time.Time, q Ask, n int64) result.Code {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := &waiter{Ask: q, work: g.work(q.Kind)}
+	full := g.taken+len(g.waiting)+g.coming >= g.slots
+	late := g.coming > 0 && g.late(w, now.Add(g.transfer(n)))
+	if full && (q.NoWait || len(g.waiting)+g.coming >= g.queue || g.refuses(w, now)) || late || g.arriving+n > arrivingBytesMax {
+		return result.Overloaded
+	}
+	g.coming++
+	g.arriving += n
+	return 0
+}
+
+// transfer returns how long n more bytes take on the link.
+func (g *Gate) transfer(n int64) time.Duration {
+	if g.link <= 0 {
+		return 0
+	}
+	return time.Duration(float64(g.arriving+n) / g.link * float64(time.Second))
+}
+
+// late tells whether w misses its goal when it may begin at t.
+func (g *Gate) late(w *waiter, t time.Time) bool { return !w.reaches(t) || w.hopeless(t) }
+
+// Arrived notes that a body of n bytes, which was expected, is here or given up.
+func (g *Gate) Arrived(n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.coming--
+	g.arriving -= n
+}
+
 // refuses tells whether w would wait too long: until it misses its goal, or
 // where it can't reach that even in an empty queue, its deadline.
 func (g *Gate) refuses(w *waiter, now time.Time) bool {
@@ -280,7 +332,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return link.Load{
-		InFlight: g.taken + len(g.waiting),
+		InFlight: g.taken + len(g.waiting) + g.coming,
 		Hold:     g.hold,
 		Work:     time.Duration((1 + failCost*g.failing) * float64(g.kinds[kind])),
 	}
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -163,3 +163,63 @@
 		}
 	}
 }
+
+// TestGateExpectsBodies asks a gate of two slots, whose link carries a hundred
+// kilobytes a second, whether to take large bodies. Requests take 100 ms.
+func TestGateExpectsBodies(t *testing.T) {
+	start := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	const kilobytes = 1000
+	type body struct {
+		kilobytes int64
+		goal      time.Duration
+		noWait    bool
+	}
+	cases := []struct {
+		name   string
+		link   float64
+		taken  int
+		bodies []body // one after the other, none arrives
+		want   []result.Code
+	}{
+		{"free slots", 100 * kilobytes, 0, []body{{10, time.Second, true}, {10, time.Second, true}}, []result.Code{0, 0}},
+		{"as many as there are slots", 100 * kilobytes, 1, []body{{1, time.Second, true}, {1, time.Second, true}}, []result.Code{0, result.Overloaded}},
+		{"one that may wait", 100 * kilobytes, 2, []body{{1, time.Second, true}, {1, time.Second, false}}, []result.Code{result.Overloaded, 0}},
+		{"the link is taken", 100 * kilobytes, 0, []body{{60, time.Second, false}, {60, time.Second, false}}, []result.Code{0, result.Overloaded}},
+		{"the link is not known", 0, 0, []body{{60, time.Second, false}, {60, time.Second, false}}, []result.Code{0, 0}},
+		{"one that is late anyway, alone", 100 * kilobytes, 0, []body{{200, time.Second, false}}, []result.Code{0}},
+		{"too many bytes at a time", 0, 0, []body{{10_000, 0, false}, {10_000, 0, false}}, []result.Code{0, result.Overloaded}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := &upstream.Gate{}
+			g.SetLimits(2, 10, start)
+			g.SetLink(c.link)
+			for range 200 {
+				g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
+				g.Leave(start, "k", 100*time.Millisecond, upstream.Answered)
+			}
+			for range c.taken {
+				g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
+			}
+			var got []result.Code
+			for _, b := range c.bodies {
+				q := upstream.Ask{Kind: "k", NoWait: b.noWait}
+				if b.goal > 0 {
+					q.Goal = start.Add(b.goal)
+				}
+				got = append(got, g.Expect(start, q, b.kilobytes*kilobytes))
+			}
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+			for i, b := range c.bodies {
+				if got[i] == 0 {
+					g.Arrived(b.kilobytes * kilobytes)
+				}
+			}
+			if n := g.Load("k").InFlight; n != c.taken {
+				t.Errorf("a load of %d once all are here, want %d", n, c.taken)
+			}
+		})
+	}
+}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -71,7 +72,8 @@
 	connections int
 	slots       int
 	queue       int
-	leaving     time.Time // since when, zero if it is not
+	leaving     time.Time    // since when, zero if it is not
+	echoes      *atomic.Bool // whether its answers name their exchange
 }
 
 // Set takes over what the worker announced last and what the configuration
@@ -96,7 +98,9 @@
 	}
 	if o != nil && o.Address == n.Address && o.connections == n.connections {
 		n.transport = o.transport
+		n.echoes = o.echoes
 	} else {
+		n.echoes = &atomic.Bool{}
 		n.transport = hop.NewTransport(n.connections, dialTime, idleTime)
 	}
 	k.state.Store(n)
@@ -123,6 +127,10 @@
 	return s.State == readyState || s.State == drainingState && now.Sub(s.leaving) < lateTime
 }
 
+// SetLink tells how many bytes a second the instance's link carries, 0 if that
+// is not known.
+func (k *Worker) SetLink(bytes float64) { k.gate.SetLink(bytes) }
+
 // InFlight returns the requests at the worker and waiting for it.
 func (k *Worker) InFlight() int { return k.gate.InFlight() }
 
@@ -156,6 +164,10 @@
 	if !s.takes(now) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
+	if c := k.takeBody(x, &q, now); c != 0 {
+		return hop.NotRun(c, "its body was not taken")
+	}
+	now = q.Now()
 	level, refused := k.level(r, q, now)
 	if refused {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
@@ -173,7 +185,7 @@
 	if s = k.state.Load(); s.Service != q.Service || !s.takes(began) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
-	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began), Exchange: k.exchange()}
+	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.fields(x, s, q, began), Exchange: k.exchange(), Echoes: s.echoes}
 	f := h.Do(x, w, r, q.Body)
 	e = ending(f)
 	k.note(x, s, &f, q.Now())
@@ -181,6 +193,27 @@
 	return f
 }
 
+// takeBody reads the body of a request. A large one is read only if the gate
+// will let the request in: until then the sender holds its bytes back. Then it
+// may wait, because its way was the dearer part.
+func (k *Worker) takeBody(x context.Context, q *Request, now time.Time) result.Code {
+	n := q.Body.Arriving()
+	if n > 0 {
+		if c := k.gate.Expect(now, q.Ask, n); c != 0 {
+			return c
+		}
+		defer k.gate.Arrived(n)
+		q.NoWait = false
+	}
+	if q.Body.Load(x) == nil {
+		return 0
+	}
+	if errors.Is(x.Err(), context.DeadlineExceeded) {
+		return result.DeadlineExceeded
+	}
+	return result.CallerGone
+}
+
 // exchange returns the id of the next request to the worker, empty where
 // requests have ids of their own.
 func (k *Worker) exchange() string {
