link: remember the usual load of an instance; compare two candidates

Cause: what an instance reported lost its weight to nothing within half a second. With 20 to 115 instances and 77 to 295 daemons each daemon hears of any one instance every few seconds, so that nearly all looked empty and all daemons chose the fastest ones.

The last report now gives way to the usual load, a mean that itself fades over 30 s, and a choice compares two near candidates and two far ones. Candidates that are avoided or unresponsive are passed over.

--- a/link/choose.go
+++ b/link/choose.go
@@ -18,8 +18,14 @@
 	// avoidedCost is what an instance costs that failed lately or is silent.
 	avoidedCost = 10 * time.Second
 	// compared is how many near candidates a choice compares at most, and how
-	// many far ones.
-	compared = 8
+	// many far ones. Many daemons choose by old news: the more candidates each
+	// compares, the more of them choose the same one.
+	compared = 2
+	// known is how many candidates the mean time of a kind is taken over.
+	known = 8
+	// emptyShare is the part of its work by which an instance with all slots
+	// taken is dearer than an empty one, before anybody waits there.
+	emptyShare = 0.25
 )
 
 // Candidate is one ready instance of a service as this daemon sees it.
@@ -56,14 +62,14 @@
 // instance that runs the short kind look fast to the long one.
 func (c *Candidate) cost(now instant, kind string, mean, far time.Duration) time.Duration {
 	h := blend(mean)(c.Peer.work(kind, now))
-	slots := max(1, c.Slots)
-	load := c.Peer.load(now)
+	slots := float64(max(1, c.Slots))
+	load := c.Peer.estimate(now)
 	d := h
 	if n := load + 1 - slots; n > 0 {
-		d += blend(h)(c.Peer.timeThere(now)) * time.Duration(n) / time.Duration(slots)
+		d += time.Duration(float64(blend(h)(c.Peer.timeThere(now))) * n / slots)
 	}
 	// Of two that have free slots the emptier one is the safer guess.
-	d += time.Duration(int64(h) * min(load, slots) / slots / 4)
+	d += time.Duration(float64(h) * min(load, slots) / slots * emptyShare)
 	if !c.isNear() {
 		d += far
 	}
@@ -121,7 +127,7 @@
 		if h, w := c.all[i].Peer.work(kind, now); w > 0 {
 			sum += w * float64(h)
 			weight += w
-			if n++; n == compared {
+			if n++; n == known {
 				break
 			}
 		}
@@ -174,6 +180,10 @@
 		if d := k.cost(b.now, b.kind, b.mean, b.far); b.candidate == nil || d < b.cost {
 			b.candidate, b.cost = k, d
 		}
+		// One that is avoided is taken only where there is no other.
+		if k.Peer.avoided(b.now) || k.Peer.silent(b.now) {
+			continue
+		}
 		if seen++; seen == compared {
 			return
 		}
--- a/link/peer.go
+++ b/link/peer.go
@@ -19,6 +19,14 @@
 // seconds only.
 const holdTime = 10 * time.Second
 
+const (
+	// usualTime is how long the usual load counts. It loses its weight with its
+	// age, so that an instance that was once full is tried again.
+	usualTime = 30 * time.Second
+	// usualWeight is the weight of the newest report in the usual load.
+	usualWeight = 0.1
+)
+
 // Load is what an instance says of the load of its worker.
 type Load struct {
 	InFlight int           // at the worker and waiting for it
@@ -61,6 +69,7 @@
 	own      atomic.Int64 // sent by this daemon and not answered yet
 	expected atomic.Int64 // reported by the last answer, and sent since
 	reported Moment       // of that answer
+	usual    atomic.Int64 // mean of what was reported, in thousandths of requests plus 1; 0 before the first
 	hold     atomic.Int64 // nanoseconds that a request takes there
 	heard    Moment       // of the last answer, or of the first request after none was open
 	badUntil Moment       // until which it is avoided
@@ -121,6 +130,11 @@
 // requests of the kind take.
 func (p *Peer) Report(l Load, kind string, now time.Time) {
 	p.expected.Store(int64(l.InFlight))
+	n := usualUnit*int64(l.InFlight) + 1
+	if u := p.usual.Load(); u > 0 {
+		n = u + int64(usualWeight*float64(n-u))
+	}
+	p.usual.Store(n)
 	p.reported.Set(now)
 	if l.Hold > 0 {
 		p.hold.Store(int64(l.Hold))
@@ -150,6 +164,27 @@
 	return own + int64(float64(more)*(1-float64(age)/float64(trustTime))+0.5)
 }
 
+// usualUnit is how many parts of a request the usual load counts.
+const usualUnit = 1000
+
+// estimate returns the requests that are probably in flight at the instance.
+// The last report loses its weight within trustTime to the usual load. Without
+// that, every instance that was not heard of lately would look empty, and in a
+// large fleet all daemons would choose the fastest ones.
+func (p *Peer) estimate(now instant) float64 {
+	own := float64(p.own.Load())
+	age := p.reported.age(now)
+	if age >= usualTime {
+		return own
+	}
+	n := float64(p.usual.Load()) / usualUnit * (1 - float64(age)/float64(usualTime))
+	if age < trustTime {
+		w := 1 - float64(age)/float64(trustTime)
+		n = w*float64(p.expected.Load()) + (1-w)*n
+	}
+	return max(own, n)
+}
+
 // Work returns the mean time that a request of the kind takes at the instance
 // and how much that still counts at now, from 1 for what was just heard down to 0.
 func (p *Peer) Work(kind string, now time.Time) (mean time.Duration, weight float64) {
