upstream: let large bodies come one after the other on a thin link

Ruled out: slots (inspection-store turned nothing away) and processor (0.05 of a core at the most).

Gate.Expect now waits until the bodies under way leave room for 100 ms of the link, takes the one with the next goal first, and rejects those that would come too late.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -33,6 +33,9 @@
 	goalShare = 0.7
 	// arrivingBytesMax bounds the bodies that are taken at a time, in bytes.
 	arrivingBytesMax = 16 << 20
+	// linkQueueTime is how long the bodies that come at a time may keep the link
+	// busy. Small requests wait behind them, some of which have 150 ms.
+	linkQueueTime = 100 * time.Millisecond
 	// crowd is how many of the waiting that reach their goals, for each slot, it
 	// takes for those that no longer do to be sent away.
 	crowd    = 0.5
@@ -65,14 +68,16 @@
 	kinds   map[string]time.Duration // mean time by kind
 	failing float64                  // mean part of requests that the worker fails
 
-	link     float64 // bytes a second that the instance's link carries, 0 if unknown
-	coming   int     // requests whose large bodies are on their way
-	arriving int64   // bytes of these bodies
+	link     float64   // bytes a second that the instance's link carries, 0 if unknown
+	coming   int       // requests whose large bodies are on their way
+	arriving int64     // bytes of these bodies
+	bodies   []*waiter // requests whose large bodies are not sent yet
 }
 
 type waiter struct {
 	Ask
 	work     time.Duration    // that it is expected to take
+	bytes    int64            // of a large body, that are still to come
 	admitted chan result.Code // 0 for a slot; has room for one
 }
 
@@ -201,42 +206,112 @@
 	g.link = bytes
 }
 
-// Expect tells whether to take the body of a request, of n bytes; the error is
-// the number of why not. Arrived has to follow once it is here or given up. It
-// answers a load that the link bounds and not the slots: a body that comes for
-// nothing takes the link's time from others, and so do more of them at a time
-// than reach their goals.
-func (g *Gate) Expect(now time.Time, q Ask, n int64) result.Code {
+// Expect waits until the body of a request, of n bytes, may be sent; the error
+// is the number of why it may not. Arrived has to follow once the body is here
+// or given up. It answers a load that the link bounds and not the slots: bodies
+// that come at the same time delay each other and, behind them, every small
+// request on the link. So few of them come at a time, those with the next goal
+// first, and one that would come too late does not come at all.
+func (g *Gate) Expect(x context.Context, now time.Time, q Ask, n int64) result.Code {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	w := &waiter{Ask: q, work: g.work(q.Kind)}
-	full := g.taken+len(g.waiting)+g.coming >= g.slots
-	late := g.coming > 0 && g.late(w, now.Add(g.transfer(n)))
-	if full && (q.NoWait || len(g.waiting)+g.coming >= g.queue || g.refuses(w, now)) || late || g.arriving+n > arrivingBytesMax {
+	w := &waiter{Ask: q, work: g.work(q.Kind), bytes: n, admitted: make(chan result.Code, 1)}
+	if g.refusesBody(w, now) {
+		g.mu.Unlock()
 		return result.Overloaded
 	}
-	g.coming++
-	g.arriving += n
-	return 0
+	if len(g.bodies) == 0 && g.carries(n) {
+		g.expect(n)
+		g.mu.Unlock()
+		return 0
+	}
+	g.bodies = append(g.bodies, w)
+	g.mu.Unlock()
+	select {
+	case c := <-w.admitted:
+		return c
+	case <-x.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case c := <-w.admitted:
+		if c == 0 {
+			g.arrived(now, n)
+		}
+	default:
+		g.bodies = slices.DeleteFunc(g.bodies, func(o *waiter) bool { return o == w })
+	}
+	return ended(x)
+}
+
+// refusesBody tells whether w is rejected before its body is sent: where others
+// may have room, and where it would come too late.
+func (g *Gate) refusesBody(w *waiter, now time.Time) bool {
+	inside := g.taken + len(g.waiting) + g.coming + len(g.bodies)
+	if w.NoWait && (inside >= g.slots || len(g.bodies) > 0 || !g.carries(w.bytes)) {
+		return true
+	}
+	if inside >= g.slots && (inside >= g.slots+g.queue || g.refuses(w, now)) {
+		return true
+	}
+	t := now.Add(g.transfer(w.bytes))
+	return inside > 0 && (!w.reaches(t) || w.hopeless(t))
 }
 
-// transfer returns how long n more bytes take on the link.
+// carries tells whether the link has room for n more bytes now.
+func (g *Gate) carries(n int64) bool {
+	if g.coming == 0 {
+		return true
+	}
+	limit := int64(arrivingBytesMax)
+	if g.link > 0 {
+		limit = min(limit, int64(g.link*linkQueueTime.Seconds()))
+	}
+	return g.arriving+n <= limit
+}
+
+// transfer returns how long it takes until n more bytes are here, after those
+// that come before.
 func (g *Gate) transfer(n int64) time.Duration {
 	if g.link <= 0 {
 		return 0
 	}
-	return time.Duration(float64(g.arriving+n) / g.link * float64(time.Second))
+	n += g.arriving
+	for _, o := range g.bodies {
+		n += o.bytes
+	}
+	return time.Duration(float64(n) / g.link * float64(time.Second))
 }
 
-// late tells whether w misses its goal when it may begin at t.
-func (g *Gate) late(w *waiter, t time.Time) bool { return !w.reaches(t) || w.hopeless(t) }
+func (g *Gate) expect(n int64) {
+	g.coming++
+	g.arriving += n
+}
 
 // Arrived notes that a body of n bytes, which was expected, is here or given up.
-func (g *Gate) Arrived(n int64) {
+func (g *Gate) Arrived(now time.Time, n int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.arrived(now, n)
+}
+
+func (g *Gate) arrived(now time.Time, n int64) {
 	g.coming--
 	g.arriving -= n
+	for len(g.bodies) > 0 {
+		w := slices.MinFunc(g.bodies, func(a, b *waiter) int { return g.compare(a, b, now) })
+		hopeless := w.hopeless(now)
+		if !hopeless && !g.carries(w.bytes) {
+			return
+		}
+		g.bodies = slices.DeleteFunc(g.bodies, func(o *waiter) bool { return o == w })
+		if hopeless {
+			w.admitted <- result.Overloaded
+			continue
+		}
+		g.expect(w.bytes)
+		w.admitted <- 0
+	}
 }
 
 // refuses tells whether w would wait too long: until it misses its goal, or
@@ -265,6 +340,11 @@
 	default:
 		g.remove(w)
 	}
+	return ended(x)
+}
+
+// ended returns the number of why x has ended.
+func ended(x context.Context) result.Code {
 	if errors.Is(x.Err(), context.DeadlineExceeded) {
 		return result.DeadlineExceeded
 	}
@@ -332,7 +412,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return link.Load{
-		InFlight: g.taken + len(g.waiting) + g.coming,
+		InFlight: g.taken + len(g.waiting) + g.coming + len(g.bodies),
 		Hold:     g.hold,
 		Work:     time.Duration((1 + failCost*g.failing) * float64(g.kinds[kind])),
 	}
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -164,16 +166,17 @@
 	}
 }
 
-// TestGateExpectsBodies asks a gate of two slots, whose link carries a hundred
-// kilobytes a second, whether to take large bodies. Requests take 100 ms.
+// TestGateExpectsBodies asks a gate of two slots, whose link carries a megabyte
+// a second, whether to take large bodies. Requests take 100 ms.
 func TestGateExpectsBodies(t *testing.T) {
 	start := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
-	const kilobytes = 1000
+	const kilobyte = 1000
 	type body struct {
 		kilobytes int64
 		goal      time.Duration
 		noWait    bool
 	}
+	later := result.Code(-1) // it waits for those before it
 	cases := []struct {
 		name   string
 		link   float64
@@ -181,45 +184,113 @@
 		bodies []body // one after the other, none arrives
 		want   []result.Code
 	}{
-		{"free slots", 100 * kilobytes, 0, []body{{10, time.Second, true}, {10, time.Second, true}}, []result.Code{0, 0}},
-		{"as many as there are slots", 100 * kilobytes, 1, []body{{1, time.Second, true}, {1, time.Second, true}}, []result.Code{0, result.Overloaded}},
-		{"one that may wait", 100 * kilobytes, 2, []body{{1, time.Second, true}, {1, time.Second, false}}, []result.Code{result.Overloaded, 0}},
-		{"the link is taken", 100 * kilobytes, 0, []body{{60, time.Second, false}, {60, time.Second, false}}, []result.Code{0, result.Overloaded}},
-		{"the link is not known", 0, 0, []body{{60, time.Second, false}, {60, time.Second, false}}, []result.Code{0, 0}},
-		{"one that is late anyway, alone", 100 * kilobytes, 0, []body{{200, time.Second, false}}, []result.Code{0}},
-		{"too many bytes at a time", 0, 0, []body{{10_000, 0, false}, {10_000, 0, false}}, []result.Code{0, result.Overloaded}},
+		{"free slots", 1000 * kilobyte, 0, []body{{10, time.Second, true}, {10, time.Second, true}}, []result.Code{0, 0}},
+		{"as many as there are slots", 1000 * kilobyte, 1, []body{{1, time.Second, true}, {1, time.Second, true}}, []result.Code{0, result.Overloaded}},
+		{"one that may wait for a slot", 1000 * kilobyte, 2, []body{{1, time.Second, true}, {1, time.Second, false}}, []result.Code{result.Overloaded, 0}},
+		{"the link is taken, others may have room", 1000 * kilobyte, 0, []body{{60, time.Second, true}, {60, time.Second, true}}, []result.Code{0, result.Overloaded}},
+		{"the link is taken", 1000 * kilobyte, 0, []body{{60, time.Second, false}, {60, time.Second, false}, {60, time.Second, false}}, []result.Code{0, later, later}},
+		{"it would come too late", 1000 * kilobyte, 0, []body{{400, time.Second, false}, {400, time.Second, false}, {400, time.Second, false}}, []result.Code{0, later, result.Overloaded}},
+		{"the link is not known", 0, 0, []body{{60, time.Second, false}, {600, time.Second, false}}, []result.Code{0, 0}},
+		{"one that is late anyway, alone", 1000 * kilobyte, 0, []body{{2000, time.Second, false}}, []result.Code{0}},
+		{"too many bytes at a time", 0, 0, []body{{10_000, 0, false}, {10_000, 0, false}}, []result.Code{0, later}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			g := &upstream.Gate{}
-			g.SetLimits(2, 10, start)
-			g.SetLink(c.link)
-			for range 200 {
-				g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
-				g.Leave(start, "k", 100*time.Millisecond, upstream.Answered)
-			}
-			for range c.taken {
-				g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
-			}
-			var got []result.Code
-			for _, b := range c.bodies {
-				q := upstream.Ask{Kind: "k", NoWait: b.noWait}
-				if b.goal > 0 {
-					q.Goal = start.Add(b.goal)
+			synctest.Test(t, func(t *testing.T) {
+				g := &upstream.Gate{}
+				g.SetLimits(2, 10, start)
+				g.SetLink(c.link)
+				for range 200 {
+					g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
+					g.Leave(start, "k", 100*time.Millisecond, upstream.Answered)
 				}
-				got = append(got, g.Expect(start, q, b.kilobytes*kilobytes))
-			}
-			if d := cmp.Diff(c.want, got); d != "" {
-				t.Errorf("(-want +got)\n%s", d)
-			}
-			for i, b := range c.bodies {
-				if got[i] == 0 {
-					g.Arrived(b.kilobytes * kilobytes)
+				for range c.taken {
+					g.Enter(t.Context(), start, upstream.Ask{Kind: "k"})
 				}
-			}
-			if n := g.Load("k").InFlight; n != c.taken {
-				t.Errorf("a load of %d once all are here, want %d", n, c.taken)
-			}
+				got := make([]result.Code, len(c.bodies))
+				var waiting sync.WaitGroup
+				for i, b := range c.bodies {
+					q := upstream.Ask{Kind: "k", NoWait: b.noWait}
+					if b.goal > 0 {
+						q.Goal = start.Add(b.goal)
+					}
+					got[i] = later
+					waiting.Go(func() { got[i] = g.Expect(t.Context(), start, q, b.kilobytes*kilobyte) })
+					synctest.Wait()
+				}
+				if d := cmp.Diff(c.want, got); d != "" {
+					t.Errorf("(-want +got)\n%s", d)
+				}
+				for i, b := range c.bodies { // each lets the next one come
+					if got[i] == result.Overloaded {
+						continue
+					}
+					if got[i] != 0 {
+						t.Errorf("body %d still waits", i)
+					}
+					g.Arrived(start, b.kilobytes*kilobyte)
+					synctest.Wait()
+				}
+				waiting.Wait()
+				if n := g.Load("k").InFlight; n != c.taken {
+					t.Errorf("a load of %d once all are here, want %d", n, c.taken)
+				}
+			})
 		})
 	}
 }
+
+// TestGateLinkAlone plays uploads of 60 KB that a link of 7 Mbit/s just carries
+// not, beside small requests with 150 ms: those never wait longer than a body
+// that was already on its way takes, and the link is never idle.
+func TestGateLinkAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, goal = 60_000, 1200 * time.Millisecond
+		link := 7e6 / 8.0 // bytes a second
+		transfer := time.Duration(size / link * float64(time.Second))
+		g := &upstream.Gate{}
+		g.SetLimits(6, 24, time.Now())
+		g.SetLink(link)
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		var free time.Time // when the link has carried all that was sent
+		var carried, rejected int
+		var queue time.Duration // longest that a small request would have waited
+		begin := time.Now()
+		for i := range 200 { // a fifth more than the link carries
+			time.Sleep(transfer * 5 / 6)
+			all.Go(func() {
+				now := time.Now()
+				if g.Expect(t.Context(), now, upstream.Ask{Kind: "k", Goal: now.Add(goal)}, size) != 0 {
+					mu.Lock()
+					rejected++
+					mu.Unlock()
+					return
+				}
+				mu.Lock()
+				now = time.Now()
+				if free.Before(now) {
+					if i > 10 && now.Sub(free) > 10*time.Millisecond {
+						t.Errorf("the link was idle for %s", now.Sub(free))
+					}
+					free = now
+				}
+				free = free.Add(transfer)
+				queue = max(queue, free.Sub(now))
+				carried++
+				d := free.Sub(now)
+				mu.Unlock()
+				time.Sleep(d)
+				g.Arrived(time.Now(), size)
+			})
+		}
+		all.Wait()
+		if queue > 150*time.Millisecond {
+			t.Errorf("small requests waited %s behind bodies", queue)
+		}
+		if share := float64(carried) * size / link / time.Since(begin).Seconds(); share < 0.9 {
+			t.Errorf("the link carried %.2f of what it can", share)
+		}
+		t.Logf("carried %d, rejected %d, longest queue %s", carried, rejected, queue)
+	})
+}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -199,19 +198,16 @@
 func (k *Worker) takeBody(x context.Context, q *Request, now time.Time) result.Code {
 	n := q.Body.Arriving()
 	if n > 0 {
-		if c := k.gate.Expect(now, q.Ask, n); c != 0 {
+		if c := k.gate.Expect(x, now, q.Ask, n); c != 0 {
 			return c
 		}
-		defer k.gate.Arrived(n)
+		defer func() { k.gate.Arrived(q.Now(), n) }()
 		q.NoWait = false
 	}
 	if q.Body.Load(x) == nil {
 		return 0
 	}
-	if errors.Is(x.Err(), context.DeadlineExceeded) {
-		return result.DeadlineExceeded
-	}
-	return result.CallerGone
+	return ended(x)
 }
 
 // exchange returns the id of the next request to the worker, empty where
