hop: close the connection of a long body that was not read to its end

For a body that is passed on while it arrives the answer may begin before it has been read. If the request is rejected then, net/http reads the rest after the handler and begins to watch the connection, beside the reading of the next request: that one is cut without an answer.

Such answers now say that they close the connection. Tried and not kept: reading the rest in the handler, which still broke the connection of bodies longer than that.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -107,6 +107,9 @@
 	c := &call{view: v, random: n}
 	f := h.answer(w, r, c, t)
 	h.record(r, c, f, t)
+	if c.body.Unfinished() && !f.Begun {
+		w.Header().Set("Connection", "close")
+	}
 	finish(w, f, h.retryAfter(c, f))
 }
 
--- a/caller/link.go
+++ b/caller/link.go
@@ -41,12 +41,16 @@
 		w.Header().Set(contract.AgeHeader, a)
 	}
 	w.Header()["Date"] = nil // nobody reads it between daemons
-	f := h.serve(w, r)
+	b := hop.NewBody(w, r)
+	f := h.serve(w, r, b)
 	switch {
 	case f.Begun:
 		finish(w, f, 0)
 	case !f.OK():
 		h.addLoad(w.Header(), r)
+		if b.Unfinished() {
+			w.Header().Set("Connection", "close")
+		}
 		refuseLink(w, f)
 	}
 }
@@ -56,7 +60,7 @@
 	a.Set(contract.LoadHeader, h.Worker.Load(r.Header.Get(contract.KindHeader)).String())
 }
 
-func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request) hop.Result {
+func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request, b *hop.Body) hop.Result {
 	now := h.Now()
 	t := r.Header.Get(contract.DeadlineHeader)
 	d, err := contract.Deadline(now, linkDeadline, t)
@@ -69,7 +73,7 @@
 		Ask:     upstream.Ask{Kind: r.Header.Get(contract.KindHeader), Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
 		Service: r.Header.Get(contract.ServiceHeader),
 		Origin:  r.Header.Get(contract.OriginHeader),
-		Body:    hop.NewBody(w, r),
+		Body:    b,
 		Now:     h.Now,
 		Before:  func(a http.Header) { h.addLoad(a, r) },
 	}
--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -190,3 +190,87 @@
 		t.Errorf("(-want +got)\n%s", d)
 	}
 }
+
+// TestUploadAnsweredEarly has the worker answer long bodies before it has read
+// them. The caller sends the whole body all the same and then further requests
+// on the connection, which are answered.
+func TestUploadAnsweredEarly(t *testing.T) {
+	const size = 600 << 10
+	w := listen(t, func(c net.Conn) {
+		b := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			reply(c, "200 OK", "Figwheel-Attempt-Id: "+q.Header.Get("Figwheel-Attempt-Id")+"\r\nFigwheel-Server-Seal: s\r\n", "early")
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+		}
+	})
+	e := platformMeshTaking(t, 4<<20, w)
+	body := bytes.Repeat([]byte("x"), size)
+	for i := range 40 {
+		c, err := net.Dial("tcp", address(e.call))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := bufio.NewReader(c)
+		for k := range 3 {
+			for _, n := range []int{size, 10 << 10} {
+				sent := make(chan error, 1)
+				go func() {
+					_, err := fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a%d-%d\r\nContent-Length: %d\r\n\r\n%s", k, n, n, body[:n])
+					sent <- err
+				}()
+				p, err := http.ReadResponse(b, nil)
+				if err != nil {
+					t.Fatalf("connection %d, body %d of %d bytes: %v", i, k, n, err)
+				}
+				d, err := io.ReadAll(p.Body)
+				if err != nil || p.StatusCode != http.StatusOK || string(d) != "early" {
+					t.Fatalf("connection %d, body %d of %d bytes: %d %q %v", i, k, n, p.StatusCode, d, err)
+				}
+				if err := <-sent; err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		_ = c.Close()
+	}
+}
+
+// TestUploadRejectedThenAnother rejects long bodies before they are read. The
+// connection either serves the next request or says that it closes.
+func TestUploadRejectedThenAnother(t *testing.T) {
+	const size = 600 << 10
+	e := platformMeshTaking(t, 4<<20, refusing(t))
+	body := bytes.Repeat([]byte("x"), size)
+	for i := range 200 {
+		c, err := net.Dial("tcp", address(e.call))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := bufio.NewReader(c)
+		go func() {
+			for _, n := range []int{size, 100 << 10, size} {
+				_, _ = fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a%d\r\nContent-Length: %d\r\n\r\n%s", n, n, body[:n])
+			}
+		}()
+		for k := range 3 {
+			p, err := http.ReadResponse(b, nil)
+			if err != nil {
+				t.Fatalf("connection %d, request %d: %v", i, k, err)
+			}
+			_, err = io.Copy(io.Discard, p.Body)
+			if err != nil || p.StatusCode != http.StatusServiceUnavailable {
+				t.Fatalf("connection %d, request %d: %d %v", i, k, p.StatusCode, err)
+			}
+			if p.Close {
+				break
+			}
+		}
+		_ = c.Close()
+	}
+}
--- a/hop/body.go
+++ b/hop/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -22,10 +23,11 @@
 
 // Body is the body of a request that may be sent by more than one attempt.
 type Body struct {
-	length    int64
-	source    io.Reader // of a body that is kept
-	stream    io.Reader // of one that is passed on while it arrives
-	interrupt func()
+	length  int64
+	source  io.Reader // of a body that is kept
+	stream  io.Reader // of one that is passed on while it arrives
+	control *http.ResponseController
+	duplex  bool // whether the answer may begin before stream has been read
 
 	once sync.Once
 	kept []byte
@@ -33,26 +35,33 @@
 
 	loaded atomic.Bool
 	read   atomic.Bool // whether an attempt took any of it
+	ended  atomic.Bool // whether the end of stream was read
 }
 
 // NewBody takes the body of r, which w answers, without reading it. One of
 // known length that is not too long is kept as a whole when it is first needed.
 // Any other one is passed on while it arrives, at the same time as the answer.
 func NewBody(w http.ResponseWriter, r *http.Request) *Body {
-	c := http.NewResponseController(w)
-	b := &Body{length: r.ContentLength, interrupt: func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }}
+	b := &Body{length: r.ContentLength, control: http.NewResponseController(w)}
 	switch {
 	case r.ContentLength == 0:
 		b.loaded.Store(true)
 	case r.ContentLength > 0 && r.ContentLength <= keptBytesMax:
 		b.source = r.Body
 	default:
-		_ = c.EnableFullDuplex() // HTTP/2 always is
 		b.stream = r.Body
 	}
 	return b
 }
 
+// interrupt breaks off a read of the body, and with it the connection.
+func (b *Body) interrupt() { _ = b.control.SetReadDeadline(time.Unix(1, 0)) }
+
+// Unfinished tells whether the request has bytes that were not read although
+// its answer may begin. Its connection cannot take another request: net/http
+// would read the rest after the handler, and take the next request for more.
+func (b *Body) Unfinished() bool { return b != nil && b.duplex && !b.ended.Load() }
+
 // Load reads a body that is kept. An error means that the caller did not send
 // what it promised before x ended; its connection is of no more use.
 func (b *Body) Load(x context.Context) error {
@@ -100,6 +109,7 @@
 func (b *Body) attempt() (io.ReadCloser, func()) {
 	switch {
 	case b.stream != nil:
+		b.duplex = b.control.EnableFullDuplex() == nil
 		r := &streamReader{b: b}
 		return r, r.stop
 	case b.length > 0:
@@ -141,7 +151,11 @@
 		return 0, http.ErrBodyReadAfterClose
 	}
 	r.b.read.Store(true)
-	return r.b.stream.Read(p)
+	n, err := r.b.stream.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.b.ended.Store(true)
+	}
+	return n, err
 }
 
 // Close implements io.Closer. It leaves the caller's body open: the server
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -102,7 +102,7 @@
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
-	f := h.answered(w, r, p)
+	f := h.answered(w, r, p, b)
 	if f.Code == result.WrongAnswer {
 		s.retire()
 	}
@@ -110,7 +110,7 @@
 }
 
 // answered passes the answer p on or tells why it must not be.
-func (h Hop) answered(w http.ResponseWriter, r *http.Request, p *http.Response) Result {
+func (h Hop) answered(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body) Result {
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
@@ -144,6 +144,9 @@
 	if h.Before != nil {
 		h.Before(w.Header())
 	}
+	if b.Unfinished() {
+		w.Header().Set("Connection", "close")
+	}
 	if err := pass(w, p, h.Headers, k, n); err != nil {
 		f.Code = result.AnswerCut
 		f.Text = err.Error()
