contract: more retries of what did not run, fewer of what may have

The users' budget is 20 % of the requests and a slack. It was used to half because a retry that runs makes its calls again, which count as retries at the called service.

That concerns only requests that may have run. They keep to 5 % (RerunPercent, a new setting), all retries together to 15 %: 15 % and the 5 % of calls of repeated runs are the 20 %. Weighed: a higher price of such retries out of one budget, which would break RetryPercent 100 of the own interface (TestFailures).

--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -43,7 +44,12 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(callerListener{l}) }()
-	t.Cleanup(func() { _ = s.Close(); <-ended })
+	t.Cleanup(func() {
+		_ = s.Close()
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
 	return l.Addr().String()
 }
 
@@ -121,6 +127,7 @@
 				t.Fatal(err)
 			}
 			d, err := io.ReadAll(p.Body)
+			_ = p.Body.Close()
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -272,7 +272,7 @@
 	if most == 0 {
 		most = attemptsDefault
 	}
-	return c.sent < most && len(c.tried) < l.Len() && b.Spend()
+	return c.sent < most && len(c.tried) < l.Len() && b.Spend(f.Outcome)
 }
 
 // after notes what f leaves open: there is no proof that the request did not
--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = p.Body.Close() }()
 	if d := cmp.Diff([]string{"503", "not-run", "0"}, []string{fmt.Sprint(p.StatusCode), p.Header.Get(contract.OutcomeHeader), fmt.Sprint(runs.Load())}); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
@@ -186,6 +187,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = p.Body.Close() }()
 	if d := cmp.Diff([]any{503, "FW3004", true}, []any{p.StatusCode, p.Header.Get(contract.CodeHeader), p.Close}); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
--- a/contract/budget.go
+++ b/contract/budget.go
@@ -11,25 +11,53 @@
 type Retries struct {
 	Percent int // of the requests
 	Burst   int // that may come at once
+	// RerunPercent bounds the retries that may run a request a second time, 0
+	// for as many as Percent. Such a run makes its calls to other services
+	// again, where they count as retries too.
+	RerunPercent int
 }
 
 // Budget keeps retries to a share of the requests. The zero value is an empty
 // budget; it is safe for concurrent use.
-type Budget struct{ milli atomic.Int64 }
+type Budget struct{ all, reruns purse }
 
 // Earn credits one request.
 func (b *Budget) Earn(r Retries) {
-	if b.milli.Load() < int64(r.Burst)*milli {
-		b.milli.Add(int64(r.Percent * percentMilli))
+	b.all.earn(r.Percent, r.Burst)
+	n := r.RerunPercent
+	if n == 0 {
+		n = r.Percent
 	}
+	b.reruns.earn(n, r.Burst)
 }
 
-// Spend takes one retry and tells whether there was one to take.
-func (b *Budget) Spend() bool {
-	if b.milli.Add(-milli) >= 0 {
+// Spend takes one retry after an attempt with the outcome o and tells whether
+// there was one to take.
+func (b *Budget) Spend(o Outcome) bool {
+	if !b.all.take() {
+		return false
+	}
+	if o == NotRun || b.reruns.take() {
+		return true
+	}
+	b.all.milli.Add(milli)
+	return false
+}
+
+// purse holds thousandths of retries.
+type purse struct{ milli atomic.Int64 }
+
+func (p *purse) earn(percent, burst int) {
+	if p.milli.Load() < int64(burst)*milli {
+		p.milli.Add(int64(percent * percentMilli))
+	}
+}
+
+func (p *purse) take() bool {
+	if p.milli.Add(-milli) >= 0 {
 		return true
 	}
-	b.milli.Add(milli)
+	p.milli.Add(milli)
 	return false
 }
 
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -52,14 +52,14 @@
 // TestBudget keeps retries to the share of requests, with a burst of ten.
 func TestBudget(t *testing.T) {
 	var b contract.Budget
-	if b.Spend() {
+	if b.Spend(contract.NotRun) {
 		t.Error("an empty budget was spent")
 	}
 	for range 10_000 {
 		b.Earn(contract.Retries{Percent: 10, Burst: 10})
 	}
 	var n int
-	for b.Spend() {
+	for b.Spend(contract.NotRun) {
 		n++
 	}
 	if n != 10 {
@@ -68,13 +68,26 @@
 	n = 0
 	for range 1000 {
 		b.Earn(contract.Retries{Percent: 10, Burst: 10})
-		if b.Spend() {
+		if b.Spend(contract.NotRun) {
 			n++
 		}
 	}
 	if n != 100 {
 		t.Errorf("%d retries of 1000 requests at 10%%", n)
 	}
+	for o, want := range map[contract.Outcome]int{contract.NotRun: 150, contract.Unknown: 50} {
+		var b contract.Budget
+		n = 0
+		for range 1000 {
+			b.Earn(contract.Retries{Percent: 15, RerunPercent: 5, Burst: 10})
+			if b.Spend(o) {
+				n++
+			}
+		}
+		if n != want {
+			t.Errorf("%d retries of 1000 requests that ended as %s, want %d", n, o, want)
+		}
+	}
 }
 
 func TestMayRetry(t *testing.T) {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -328,7 +328,7 @@
 	v := caller.NewView(c.serving, m)
 	v.Suspects = c.suspects
 	c.d.worker.SetSuspects(c.suspects)
-	v.Retries = contract.Retries{Percent: cmp.Or(c.settings.RetryPercent, settings.RetryPercentDefault), Burst: c.retryBurst()}
+	v.Retries = contract.Retries{Percent: cmp.Or(c.settings.RetryPercent, settings.RetryPercentDefault), RerunPercent: c.settings.RerunPercent, Burst: c.retryBurst()}
 	c.d.view.Store(v)
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,6 +55,7 @@
 	LinkMbps float64 `yaml:"LinkMbps"` // that the instance's own link carries; 0 if that is not known
 
 	RetryPercent int `yaml:"RetryPercent"` // of the requests of a service may be sent again, where it does not say itself
+	RerunPercent int `yaml:"RerunPercent"` // of them may be sent again although they may have run; 0 is RetryPercent
 	RetryBurst   int `yaml:"RetryBurst"`   // retries of a service that all daemons together may send at once
 }
 
@@ -175,6 +176,7 @@
 	s.Seeds = n.Seeds
 	s.WorkerLapse = n.WorkerLapse
 	s.RetryPercent = n.RetryPercent
+	s.RerunPercent = n.RerunPercent
 	s.RetryBurst = n.RetryBurst
 	s.LogRate = n.LogRate
 	return s
@@ -233,8 +235,13 @@
 	if s.Interface != "" && s.Interface != OwnInterface && s.Interface != PlatformInterface {
 		fail("Interface %q is neither %s nor %s", s.Interface, OwnInterface, PlatformInterface)
 	}
-	if s.RetryPercent < 0 || s.RetryPercent > 100 || s.RetryBurst < 0 {
-		fail("RetryPercent takes 0 to 100 and RetryBurst no less than 0, not %d and %d", s.RetryPercent, s.RetryBurst)
+	for _, n := range []int{s.RetryPercent, s.RerunPercent} {
+		if n < 0 || n > 100 {
+			fail("RetryPercent and RerunPercent take 0 to 100, not %d", n)
+		}
+	}
+	if s.RetryBurst < 0 {
+		fail("RetryBurst takes no less than 0, not %d", s.RetryBurst)
 	}
 	if s.LinkMbps < 0 || math.IsNaN(s.LinkMbps) {
 		fail("LinkMbps is %v, less than 0", s.LinkMbps)
