upstream, link, caller: names and comments in the terms of the field

hope, enough, crowd, look, moved, after and hopeless are now unprobedDiscount, minRemainingShare, overloadQueueShare, scan, ewma, recordAttempt and expired; comments follow. Behaviour and tests are unchanged.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -248,7 +248,7 @@
 			waits++
 		}
 		c.tried = append(c.tried, k.Name)
-		f = c.after(h.attempt(x, w, r, c, k, !wait))
+		f = c.recordAttempt(h.attempt(x, w, r, c, k, !wait))
 		if f.OK() || f.Begun || x.Err() != nil || !h.another(c, f, b, l) || f.Code == result.Overloaded && waits >= waitsMax {
 			return f
 		}
@@ -275,9 +275,9 @@
 	return c.sent < most && len(c.tried) < l.Len() && b.Spend(f.Outcome)
 }
 
-// after notes what f leaves open: there is no proof that the request did not
-// run once an earlier attempt may have run it.
-func (c *call) after(f hop.Result) hop.Result {
+// recordAttempt folds the result of an attempt into the call: once an attempt
+// may have run the request, no later one can prove that it did not run.
+func (c *call) recordAttempt(f hop.Result) hop.Result {
 	if f.OK() {
 		return f
 	}
--- a/link/choose.go
+++ b/link/choose.go
@@ -10,12 +10,12 @@
 	// FarCost is what another site costs a request of which nothing is known: so
 	// much longer may it take at a near instance before a far one is chosen.
 	FarCost = 20 * time.Millisecond
-	// holdFirst is taken for the time at an instance when that of none is known.
+	// holdFirst stands for the time at an instance while that of none is known.
 	holdFirst = 50 * time.Millisecond
-	// hope is the part of the mean time of the others that is taken for the time
-	// at an instance of which it is not known, so that it is tried.
-	hope = 0.8
-	// avoidedCost is what an instance costs that failed lately or is silent.
+	// unprobedDiscount is the share of the others' mean time that stands for an
+	// instance whose own is not known, so that it is tried.
+	unprobedDiscount = 0.8
+	// avoidedCost is added for an instance that is ejected or unresponsive.
 	avoidedCost = 10 * time.Second
 	// compared is how many near candidates a choice compares at most, and how
 	// many far ones. Many daemons choose by old news: the more candidates each
@@ -148,10 +148,10 @@
 func (c Candidates) Choose(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration) *Candidate {
 	b := best{now: at(now), kind: kind, far: far, tried: tried, mean: holdFirst}
 	if h := c.work(kind, b.now); h > 0 {
-		b.mean = time.Duration(hope * float64(h))
+		b.mean = time.Duration(unprobedDiscount * float64(h))
 	}
-	b.look(c.all[:c.near], r)
-	b.look(c.all[c.near:], r)
+	b.scan(c.all[:c.near], r)
+	b.scan(c.all[c.near:], r)
 	return b.candidate
 }
 
@@ -165,8 +165,8 @@
 	cost      time.Duration
 }
 
-// look compares some of l, from a random place on.
-func (b *best) look(l []Candidate, r *rand.Rand) {
+// scan compares some of l, starting at a random one.
+func (b *best) scan(l []Candidate, r *rand.Rand) {
 	n := len(l)
 	if n == 0 {
 		return
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -16,16 +16,17 @@
 	// holdWeight is the weight of the newest request in the mean time that
 	// requests hold a slot.
 	holdWeight = 0.05
-	// holdFirst is taken for that mean until the first request has ended.
+	// holdFirst stands for that mean until the first request has ended.
 	holdFirst = 50 * time.Millisecond
-	// failCost is how many times its work a failed request costs: its caller has to
-	// come again, or gets nothing.
+	// failCost is the extra cost of a failed request, as a multiple of its work:
+	// its caller has to retry, or gets nothing.
 	failCost = 4
 	// kindsMax bounds the kinds of requests whose means are kept.
 	kindsMax = 256
-	// enough is the part of its mean that a request needs to have left before
-	// its deadline when it gets a slot; with less it would take one and fail.
-	enough = 0.5
+	// minRemainingShare is the share of its mean work that a request must have
+	// left before its deadline when it gets a slot; with less it would occupy
+	// the slot and fail.
+	minRemainingShare = 0.5
 	// goalShare is the part of the time to its goal that a request may be
 	// expected to take when it starts to wait. Times vary about their means, and
 	// a queue that just reaches the goals on average misses half of them, while
@@ -36,10 +37,10 @@
 	// linkQueueTime is how long the bodies that come at a time may keep the link
 	// busy. Small requests wait behind them, some of which have 150 ms.
 	linkQueueTime = 100 * time.Millisecond
-	// crowd is how many of the waiting that reach their goals, for each slot, it
-	// takes for those that no longer do to be sent away.
-	crowd    = 0.5
-	crowdMin = 2 // of them at least
+	// overloadQueueShare is the number of waiting requests for each slot that
+	// can still meet their goals, from which those that cannot are rejected.
+	overloadQueueShare = 0.5
+	overloadQueueMin   = 2 // the least such number
 )
 
 // Ask is what a request says when it wants a slot of the worker.
@@ -51,13 +52,13 @@
 	NoWait   bool      // another worker may have a free slot
 }
 
-// Gate lets as many requests to the worker as it has slots. It answers loads
-// above that. The waiting are let in by rank; within a rank the one whose goal
-// is next goes first, as long as it can still reach it: short requests with
-// close goals then pass long ones that have time. Who would not reach its goal
-// is refused at once, before it has waited: an overload then costs some
-// requests and not the goals of all, and the refused can still be served
-// elsewhere or later. The zero value lets nothing in.
+// Gate admits as many requests to the worker as it has slots, and decides which
+// wait when there are more. Requests are admitted by rank; within a rank the
+// one with the earliest goal goes first, as long as it can still meet it, so
+// that short requests with close goals pass long ones that have time. A request
+// that cannot meet its goal is rejected on arrival: an overload then costs some
+// requests and not the goals of all, and the rejected ones can still be served
+// elsewhere or later. The zero value admits nothing.
 type Gate struct {
 	mu      sync.Mutex
 	slots   int
@@ -116,29 +117,29 @@
 	return w.Goal.IsZero() || !t.Add(w.work).After(w.Goal)
 }
 
-// hopeless tells whether a slot at t is of no use to w any more.
-func (w *waiter) hopeless(t time.Time) bool {
-	return !w.Deadline.IsZero() && t.Add(time.Duration(float64(w.work)*enough)).After(w.Deadline)
+// expired tells whether a slot at t comes too close to the deadline of w.
+func (w *waiter) expired(t time.Time) bool {
+	return !w.Deadline.IsZero() && t.Add(time.Duration(float64(w.work)*minRemainingShare)).After(w.Deadline)
 }
 
-// crowded tells whether so many wait that reach their goals that the others
-// will not get a slot in time.
-func (g *Gate) crowded(now time.Time) bool {
+// overloaded tells whether so many requests wait that can meet their goals that
+// the others will not get a slot in time.
+func (g *Gate) overloaded(now time.Time) bool {
 	n := 0
 	for _, w := range g.waiting {
 		if w.reaches(now) {
 			n++
 		}
 	}
-	return float64(n) >= max(crowdMin, crowd*float64(g.slots))
+	return float64(n) >= max(overloadQueueMin, overloadQueueShare*float64(g.slots))
 }
 
-// admit gives free slots to the waiting, and ends the wait of those that a
-// slot would no longer help, or that will not get one.
+// admit hands free slots to waiting requests, and rejects those that a slot
+// would no longer help or that will not get one.
 func (g *Gate) admit(now time.Time) {
-	full := g.crowded(now)
+	full := g.overloaded(now)
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
-		if !w.hopeless(now) && (!full || w.reaches(now)) {
+		if !w.expired(now) && (!full || w.reaches(now)) {
 			return false
 		}
 		w.admitted <- result.Overloaded
@@ -156,8 +157,9 @@
 	g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
 }
 
-// compare orders the waiting at the time now: by rank, then those that reach
-// their goals, then by goal. Of equals the one that came first stands first.
+// compare orders waiting requests at the time now: by rank, then those that can
+// meet their goals, then by goal. The order is stable: of equals the one that
+// arrived first comes first.
 func (g *Gate) compare(a, b *waiter, now time.Time) int {
 	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 		return c
@@ -255,7 +257,7 @@
 		return true
 	}
 	t := now.Add(g.transfer(w.bytes))
-	return inside > 0 && (!w.reaches(t) || w.hopeless(t))
+	return inside > 0 && (!w.reaches(t) || w.expired(t))
 }
 
 // carries tells whether the link has room for n more bytes now.
@@ -300,12 +302,12 @@
 	g.arriving -= n
 	for len(g.bodies) > 0 {
 		w := slices.MinFunc(g.bodies, func(a, b *waiter) int { return g.compare(a, b, now) })
-		hopeless := w.hopeless(now)
-		if !hopeless && !g.carries(w.bytes) {
+		expired := w.expired(now)
+		if !expired && !g.carries(w.bytes) {
 			return
 		}
 		g.bodies = slices.DeleteFunc(g.bodies, func(o *waiter) bool { return o == w })
-		if hopeless {
+		if expired {
 			w.admitted <- result.Overloaded
 			continue
 		}
@@ -314,15 +316,15 @@
 	}
 }
 
-// refuses tells whether w would wait too long: until it misses its goal, or
-// where it can't reach that even in an empty queue, its deadline.
+// refuses tells whether w would wait too long: until it misses its goal, or its
+// deadline if it could not meet the goal even in an empty queue.
 func (g *Gate) refuses(w *waiter, now time.Time) bool {
 	wait := g.wait(w, now)
-	if w.hopeless(now.Add(wait)) {
+	if w.expired(now.Add(wait)) {
 		return true
 	}
 	if !w.reaches(now) {
-		return g.crowded(now)
+		return g.overloaded(now)
 	}
 	return !w.Goal.IsZero() && float64(wait+w.work) > goalShare*float64(w.Goal.Sub(now)) && wait > 0
 }
@@ -358,15 +360,16 @@
 const (
 	Answered  Ending = iota
 	Failed           // the worker answered by a failure of its own, or broke off
-	Abandoned        // it was given up, which says nothing of the worker
+	Abandoned        // its caller gave up, which says nothing about the worker
 )
 
-// Leave gives a slot back that a request of the kind held for the time held.
+// Leave returns a slot that a request of the kind held for the time held.
 func (g *Gate) Leave(now time.Time, kind string, held time.Duration, e Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// What fails at once says nothing of how long the work takes; a worker that
-	// does so would look fast. What was given up took at least as long.
+	// A request that fails at once does not show how long the work takes, and
+	// would make a failing worker look fast. An abandoned one took at least
+	// that long.
 	if e == Answered || held > g.work(kind) {
 		g.learn(kind, held)
 	}
@@ -382,17 +385,17 @@
 }
 
 func (g *Gate) learn(kind string, held time.Duration) {
-	g.hold = moved(g.hold, held)
+	g.hold = ewma(g.hold, held)
 	if _, ok := g.kinds[kind]; ok || len(g.kinds) < kindsMax {
 		if g.kinds == nil {
 			g.kinds = make(map[string]time.Duration)
 		}
-		g.kinds[kind] = moved(g.kinds[kind], held)
+		g.kinds[kind] = ewma(g.kinds[kind], held)
 	}
 }
 
-// moved returns the mean m after one more value.
-func moved(m, v time.Duration) time.Duration {
+// ewma folds the sample v into the exponentially weighted mean m.
+func ewma(m, v time.Duration) time.Duration {
 	if m == 0 {
 		return v
 	}
@@ -406,8 +409,9 @@
 	return g.taken + len(g.waiting)
 }
 
-// Load returns what others go by: the requests inside and in the queue, the mean
-// time that one holds a slot, and that of the kind, dearer by the part that fails.
+// Load returns the load report that is attached to each response: the requests
+// inside and in the queue, the mean time that a request holds a slot, and that
+// of the kind, increased by the share that fails.
 func (g *Gate) Load(kind string) link.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
