--- a/site/table.go
+++ b/site/table.go
@@ -1,10 +1,10 @@
 package site
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"github.com/zeebo/errs"
 
 	"figwheel/result"
