--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -179,11 +179,14 @@
 // the head with it. After any error the head tells what became of it.
 func (d *Daemon) decide(x context.Context, o store.Object, h change.Head, random *rand.Rand, show func(round)) (change.Head, error) {
 	var w time.Duration
+	var times []int64
 	for {
+		began := d.now()
 		r, err := d.deliver(x, h)
 		if err != nil {
 			return h, err
 		}
+		times = append(times, d.now().Sub(began).Milliseconds())
 		show(r)
 		v, e := change.Decide(d.now(), h.Proposed, d.sitesOf(x, h.Proposed.Content), len(r.live), r.report)
 		switch v {
@@ -191,6 +194,7 @@
 			h = h.WithAcceptance()
 			return h, d.writeHead(x, o, h)
 		case change.Refuse:
+			d.event(x, event.RefusalRounds, slog.String("ChangeID", h.Proposed.ChangeID), slog.Any("TookMs", times), slog.Int("Live", len(r.live)), slog.Any("Behind", r.report.Behind), slog.Any("Unreached", r.report.Unreached))
 			h = h.WithRefusal(e)
 			return h, d.writeHead(x, o, h)
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -33,6 +33,7 @@
 	ContentFetched
 	SubmissionRefused
 	CannotStage
+	RefusalRounds
 )
 
 // Events of membership and workers.
@@ -97,6 +98,7 @@
 	{ContentFetched, "ContentFetched", slog.LevelDebug, "A content was fetched by its hash."},
 	{SubmissionRefused, "SubmissionRefused", slog.LevelWarn, "A submission was refused before it was proposed."},
 	{CannotStage, "CannotStage", slog.LevelWarn, "This instance cannot serve a configuration, and refuses to stage it."},
+	{RefusalRounds, "RefusalRounds", slog.LevelInfo, "How long each delivery took of a proposal that is refused, and which instances are behind."},
 	{InstanceChanged, "InstanceChanged", slog.LevelDebug, "An instance announced another state."},
 	{InstanceSuspected, "InstanceSuspected", slog.LevelInfo, "An instance did not answer a probe."},
 	{InstanceDead, "InstanceDead", slog.LevelWarn, "A suspected instance did not refute in time."},
