instance: news and probes stay in their site for the most part

Of three peers that news goes to, one is of another site; of four probes three are of the own site. TestNearAndProbes checks the shares and that every instance is still probed.

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -177,7 +177,7 @@
 // spreadNews sends the news to a few peers at once, so that a change of state
 // crosses the fleet in some round trips and not in some seconds.
 func (c *control) spreadNews() {
-	for _, r := range c.table.Some(c.random, eagerPeers, "") {
+	for _, r := range c.table.Near(c.random, eagerPeers) {
 		c.exchange(r.Name, r.PeerAddress, r.Incarnation)
 	}
 }
--- a/instance/table.go
+++ b/instance/table.go
@@ -34,8 +34,9 @@
 	self    string
 	entries map[string]*entry
 	names   []string // of entries, in order
-	order   []string // of probes
-	next    int
+	probes  int
+	near    round // of probes, over the instances of this site
+	all     round // over all
 	doubt   int
 }
 
@@ -110,19 +111,43 @@
 	return s, true
 }
 
-// Probe returns the instance to probe next: each once in a shuffled round.
+// nearProbes is how many probes go to instances of this site for each that goes
+// to any instance.
+const nearProbes = 3
+
+// Probe returns the instance to probe next. Most are of this site, because bytes
+// between sites have a price; the others are of any, so that a site that is cut
+// off is found too. Both go in shuffled rounds, each instance once.
 func (t *Table) Probe(r *rand.Rand) (Record, bool) {
-	for range len(t.entries) + 1 {
-		if t.next >= len(t.order) {
-			t.order = slices.Clone(t.names)
-			r.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
-			t.next = 0
+	t.probes++
+	if t.probes%(nearProbes+1) > 0 {
+		s := t.Self().Site
+		if m, ok := t.near.next(t, r, func(m Record) bool { return m.Site == s }); ok {
+			return m, true
+		}
+	}
+	return t.all.next(t, r, func(Record) bool { return true })
+}
+
+// round visits instances in a random order, each once before any again.
+type round struct {
+	names []string
+	at    int
+}
+
+// next returns the next live instance other than the own one that fits.
+func (o *round) next(t *Table, r *rand.Rand, fits func(m Record) bool) (Record, bool) {
+	for range len(t.names) + len(o.names) + 1 {
+		if o.at >= len(o.names) {
+			o.names = slices.DeleteFunc(slices.Clone(t.names), func(n string) bool { return !fits(t.entries[n].record) })
+			r.Shuffle(len(o.names), func(i, j int) { o.names[i], o.names[j] = o.names[j], o.names[i] })
+			o.at = 0
 		}
-		if len(t.order) == 0 {
+		if len(o.names) == 0 {
 			return Record{}, false
 		}
-		e, ok := t.entries[t.order[t.next]]
-		t.next++
+		e, ok := t.entries[o.names[o.at]]
+		o.at++
 		if ok && e.record.Live() && e.record.Name != t.self {
 			return e.record, true
 		}
@@ -298,6 +323,27 @@
 // Some returns up to k live instances other than this one and skip, at
 // random.
 func (t *Table) Some(r *rand.Rand, k int, skip string) []Record {
+	return t.some(r, k, func(m Record) bool { return m.Name != skip })
+}
+
+// Near returns up to k live instances other than this one for news to be sent
+// to: one of another site, the others of this one while there are any. Bytes
+// between sites have a price, and news that has come to a site spreads there.
+func (t *Table) Near(r *rand.Rand, k int) []Record {
+	s := t.Self().Site
+	l := t.some(r, k-1, func(m Record) bool { return m.Site == s })
+	far := t.some(r, k-len(l), func(m Record) bool { return m.Site != s })
+	if n := k - len(l) - len(far); n > 0 && len(far) == 0 {
+		return t.some(r, k, func(m Record) bool { return m.Site == s })
+	}
+	return append(l, far...)
+}
+
+// some returns up to k live instances other than this one that fit.
+func (t *Table) some(r *rand.Rand, k int, fits func(m Record) bool) []Record {
+	if k <= 0 {
+		return nil
+	}
 	var l []Record
 	n := len(t.names)
 	if n == 0 {
@@ -308,7 +354,7 @@
 	i, s := r.IntN(n), step(r, n)
 	for range n {
 		m := t.entries[t.names[i]].record
-		if m.Live() && m.Name != t.self && m.Name != skip {
+		if m.Live() && m.Name != t.self && fits(m) {
 			l = append(l, m)
 		}
 		if len(l) == k {
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -238,3 +238,69 @@
 		t.Errorf("a fourth of three: %v", r)
 	}
 }
+
+// TestNearAndProbes counts whom a daemon of one of six sites sends news to and
+// probes: mostly its own site, but every site is met.
+func TestNearAndProbes(t *testing.T) {
+	k := table()
+	var l []instance.Record
+	for i := range 60 {
+		n := record(fmt.Sprintf("i-%02d", i), 1)
+		n.Site = fmt.Sprintf("%c", 'a'+i%6)
+		l = append(l, n)
+	}
+	k.Merge(l, start)
+	r := rand.New(rand.NewPCG(1, 1))
+	sites := make(map[string]int)
+	probed := make(map[string]int)
+	const rounds = 600
+	for range rounds {
+		n := k.Near(r, 3)
+		far := 0
+		for _, m := range n {
+			if m.Site != "a" {
+				far++
+				sites[m.Site]++
+			}
+		}
+		if len(n) != 3 || far != 1 {
+			t.Fatalf("news goes to %v", shows(n))
+		}
+		p, _ := k.Probe(r)
+		probed[p.Name]++
+	}
+	if len(sites) != 5 {
+		t.Errorf("news goes to the sites %v", sites)
+	}
+	near, far := 0, 0
+	for _, m := range l {
+		n := probed[m.Name]
+		if n == 0 {
+			t.Errorf("%s is never probed", m.Name)
+		}
+		if m.Site == "a" {
+			near += n
+		} else {
+			far += n
+		}
+	}
+	if near < 3*far {
+		t.Errorf("%d probes of the own site, %d of others", near, far)
+	}
+}
+
+// TestNearWithoutNeighbours has all others at other sites, or all at this one.
+func TestNearWithoutNeighbours(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for _, site := range []string{"a", "b"} {
+		var l []instance.Record
+		for i := range 5 {
+			n := record(fmt.Sprint(i), 1)
+			n.Site = site
+			l = append(l, n)
+		}
+		if n := table(l...).Near(r, 3); len(n) != 3 {
+			t.Errorf("all others at %s: news goes to %v", site, shows(n))
+		}
+	}
+}
