--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -231,6 +231,7 @@
 					t.Fatalf("connection %d, body %d of %d bytes: %v", i, k, n, err)
 				}
 				d, err := io.ReadAll(p.Body)
+				_ = p.Body.Close()
 				if err != nil || p.StatusCode != http.StatusOK || string(d) != "early" {
 					t.Fatalf("connection %d, body %d of %d bytes: %d %q %v", i, k, n, p.StatusCode, d, err)
 				}
@@ -266,6 +267,7 @@
 				t.Fatalf("connection %d, request %d: %v", i, k, err)
 			}
 			_, err = io.Copy(io.Discard, p.Body)
+			_ = p.Body.Close()
 			if err != nil || p.StatusCode != http.StatusServiceUnavailable {
 				t.Fatalf("connection %d, request %d: %d %v", i, k, p.StatusCode, err)
 			}
--- a/instance/table.go
+++ b/instance/table.go
@@ -17,6 +17,10 @@
 	ForgetTime      = 10 * time.Minute
 	newsMax         = 128
 	repeatPerDouble = 2
+	// repeatMax bounds how often a daemon hands out a piece of news. Spreading it
+	// at once tells each daemon five to six times; more only costs bytes when
+	// many instances change, and digests repair what is missed.
+	repeatMax = 8
 
 	doubtMax   = 5 // of failed probes that count against this daemon
 	doubtTrust = 3 // up to which its suspicions are news
@@ -72,7 +76,7 @@
 	}
 	e.record = r
 	e.changed = now
-	e.repeats = repeatPerDouble * bits.Len(uint(len(t.entries)))
+	e.repeats = min(repeatPerDouble*bits.Len(uint(len(t.entries))), repeatMax)
 }
 
 // Merge takes in news and returns the records by which something changed that
