comments and two error texts in plain terms

Comments that named nobody and somebody say daemon, peer or client; two error texts follow. No change of behaviour; no test looks at these texts.

--- a/caller/link.go
+++ b/caller/link.go
@@ -40,7 +40,7 @@
 	if a := h.Daemon.Age(h.Now()); a != "" {
 		w.Header().Set(contract.AgeHeader, a)
 	}
-	w.Header()["Date"] = nil // nobody reads it between daemons
+	w.Header()["Date"] = nil // not used between daemons
 	b := hop.NewBody(w, r)
 	f := h.serve(w, r, b)
 	switch {
--- a/change/known.go
+++ b/change/known.go
@@ -23,7 +23,7 @@
 // WithSeen returns what is known after another daemon was seen to serve the
 // content under that number. Daemons serve nothing that was not accepted, so
 // the proposal that is known here was, if it is that one. Anything else is not
-// trusted: it may be from a daemon that is ahead, or from nobody.
+// trusted: it may be from a daemon that is ahead, or forged.
 func (k Known) WithSeen(number uint64, content string) (Known, bool) {
 	p := k.Head.Proposed.Release
 	if p.Number != number || p.Content != content || number <= k.Target.Number {
--- a/change/poll.go
+++ b/change/poll.go
@@ -28,7 +28,7 @@
 	TrustTime = 1250 * time.Millisecond
 
 	// AskTime is the age above which a daemon asks another for a younger one: a
-	// read of the store costs more than a message, and waits until nobody knows.
+	// read of the store costs more than a message, and is left for when no peer has a younger one.
 	AskTime = 800 * time.Millisecond
 	// askedBy is how many daemons ask one of the first. Those ask the ones that
 	// read, and do so earlier.
--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -34,7 +34,7 @@
 	rosterNamesMax = 64
 	joinPeers      = 3
 	joinTime       = 500 * time.Millisecond // between two tries to join
-	aloneTime      = 3 * time.Second        // until nobody of the rosters can be there
+	aloneTime      = 3 * time.Second        // after which no instance of the rosters can be alive
 	firstTime      = 300 * time.Millisecond // the same when the rosters are empty
 )
 
@@ -105,10 +105,10 @@
 	}
 }
 
-// mayAct tells whether this daemon may act for its site. One that knows nobody
+// mayAct tells whether this daemon may act for its site. One without known peers
 // yet ranks first in its own eyes: a herd that starts at once would watch and
-// write rosters as one. It waits for a random time until somebody is found or
-// nobody can be there, and lists once more before it does: of a herd that starts
+// write rosters as one. It waits for a random time until a peer is found or
+// none can be alive, and lists once more before it does: of a herd that starts
 // on an empty store, the first one writes and the others find its roster. (The
 // random delay of contenders is the related paper's; docs/MEASUREMENTS.md has
 // what it saves.)
@@ -117,7 +117,7 @@
 }
 
 // tendJoin gets in touch with those of the rosters that are not known to live.
-// A daemon that knows nobody does so for itself. The watchers do so for their
+// A daemon without known peers does so for itself. The watchers do so for their
 // site: parts of the fleet that found each other only among themselves, after
 // a herd or a cut, meet again through them.
 func (c *control) tendJoin(now time.Time) {
@@ -133,7 +133,7 @@
 		c.askSeeds()
 		c.listAgain(now, listWaitMax)
 	} else if keeper {
-		c.listAgain(now, listKeepMax) // nobody watches the rosters
+		c.listAgain(now, listKeepMax) // the rosters are not watched
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 }
 
-// listAgain lists the rosters again for a daemon that knows nobody: those of
+// listAgain lists the rosters again for a daemon without known peers: those of
 // other sites may have been written since it started. It does so less and less
 // often, at most every high, for it may be the only one there is.
 func (c *control) listAgain(now time.Time, high time.Duration) {
@@ -261,7 +261,7 @@
 }
 
 // tendRoster lets the first daemon of the site keep its roster, under the
-// condition that nobody else wrote it meanwhile.
+// condition that no other daemon wrote it meanwhile.
 func (c *control) tendRoster(now time.Time) {
 	s := c.table.Self()
 	if !c.mayAct(now) || now.Before(c.rosterAt) || c.table.Rank(s.Site, "roster", s.Name) != 0 {
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -14,7 +14,7 @@
 // connections follows the state of a server's connections. It is there because
 // http.Server.Shutdown drops, without an answer, every request that it reads
 // after it was called, also on connections accepted before: it may be called
-// only when nobody is about to send one.
+// only when no caller is about to send one.
 type connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]connection
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -69,10 +69,10 @@
 	answered      map[string]bool
 	rosters       map[string]store.Object
 	rosterAt      time.Time
-	aloneAt       time.Time // from when a daemon that knows nobody acts
+	aloneAt       time.Time // from when a daemon without known peers acts
 	joinAt        time.Time // when the rosters are gone through next
 	listedAt      time.Time // when the rosters were asked for that are known
-	listAt        time.Time // when a daemon that knows nobody lists them next
+	listAt        time.Time // when a daemon without known peers lists them next
 	listWait      time.Duration
 	watching      bool
 	finishing     map[string]bool
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -208,9 +208,9 @@
 	}
 }
 
-var errOvertaken = errors.New("somebody else settled the proposal")
+var errOvertaken = errors.New("another daemon settled the proposal")
 
-// overtaken tells whether somebody else has settled the proposal meanwhile.
+// overtaken tells whether another daemon has settled the proposal meanwhile.
 func (d *Daemon) overtaken(x context.Context, h change.Head) bool {
 	var s uint64
 	_ = d.do(x, func(c *control) { s = c.known.Head.Sequence })
@@ -340,7 +340,7 @@
 }
 
 // audit writes one step of a settled change. A change that was settled by
-// somebody else has no proposal here, and its records are theirs to write.
+// another daemon has no proposal here, and its records are theirs to write.
 func (d *Daemon) audit(x context.Context, step string, p change.Proposal, u change.Outcome) {
 	if p.ChangeID == "" {
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,7 +63,7 @@
 	view     atomic.Pointer[caller.View]
 	closing  atomic.Bool
 	latest   atomic.Pointer[change.Confirmation] // the newest; nil without one
-	notReady atomic.Int64                        // times that somebody was told so
+	notReady atomic.Int64                        // answers that the daemon is not ready
 	requests chan func(*control)
 	lost     chan upstream.Announcement // of a worker that takes no connections
 	innocent chan poison.Fingerprint    // of a suspected request that a worker answered
@@ -190,7 +190,7 @@
 	config  compiled
 	refusal *result.Error
 
-	// What peers fetch is made once: a herd of them that each cost a compressor
+	// The bytes that peers fetch are made once: a herd that each cost a compressor
 	// of its own would take megabytes.
 	compressed func() ([]byte, error)
 	deltas     sync.Map // of func() ([]byte, error), by the hash of the base
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -47,7 +47,7 @@
 	}
 	k, ok := c.known.WithSeen(number, hash)
 	if !ok {
-		c.spreadNews() // somebody may know more
+		c.spreadNews() // a peer may know more
 		return
 	}
 	c.known = k
@@ -104,7 +104,7 @@
 // other closely find daemons some versions behind.
 const earlierMax = 4
 
-// prune drops the contents that nobody may ask for any more. Of those that were
+// prune drops the contents that no peer can ask for any more. Of those that were
 // served before it keeps the bytes of the last ones.
 func (c *control) prune() {
 	for h, k := range c.contents {
@@ -168,7 +168,7 @@
 	if err != nil || k != nil {
 		return k, err
 	}
-	// What one request fetches the others wait for: its end must not stop it.
+	// Other requests wait for the same fetch: the end of this one must not stop it.
 	y, stop := context.WithTimeout(context.WithoutCancel(x), fetchTime)
 	defer stop()
 	// A delta is here already. It must not wait for a slower way that another
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -265,7 +265,7 @@
 
 // leave drains. The order matters. Callers are sent elsewhere first; until they
 // have gone, the worker goes on serving others: it is no less able than before.
-// Then other daemons hear that it gets no more, and only what nobody uses any
+// Then other daemons hear that it gets no more, and only what is not used any
 // more is closed.
 func (d *Daemon) leave(x context.Context, s *servers) {
 	x, stop := context.WithTimeout(x, time.Duration(d.settings.DrainLimit))
--- a/hop/body.go
+++ b/hop/body.go
@@ -165,7 +165,7 @@
 	return nil
 }
 
-// stop returns when nobody reads any more; a read that waits for the caller is
+// stop returns when no reader is left; a read that waits for the caller is
 // broken off, and with it the connection.
 func (r *streamReader) stop() {
 	r.done.Store(true)
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -195,7 +195,7 @@
 	case id == "" || p.Header.Get(n.Seal) == "":
 		return unknown(result.WrongAnswer, "the answer "+strconv.Itoa(p.StatusCode)+" bears no proof of the worker")
 	case p.Header.Get("Content-Encoding") != "":
-		return unknown(result.WrongAnswer, "the answer is encoded, which nobody asked for")
+		return unknown(result.WrongAnswer, "the answer is encoded, which the caller did not ask for")
 	}
 	return Result{}
 }
--- a/poison/list.go
+++ b/poison/list.go
@@ -100,7 +100,7 @@
 }
 
 // With returns the list with news taken in at now, and which of it was news.
-// What was heard long ago is left out.
+// Old entries are left out.
 func (l List) With(now time.Time, news ...Suspect) (List, []Suspect) {
 	var fresh []Suspect
 	var m map[Fingerprint]entry
--- a/site/doc.go
+++ b/site/doc.go
@@ -6,5 +6,5 @@
 // a Configuration or every problem found, each with its code and position.
 // Configuration.Snapshot compiles one site into the immutable Snapshot that
 // routes calls. A Table is the other source of snapshots: one configuration for
-// all sites that somebody else has accepted.
+// all sites that was accepted elsewhere.
 package site
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -271,7 +271,7 @@
 	if !f.OK() || k.Cleared == nil {
 		return
 	}
-	// What is suspected now counts: the request may have been at its worker
+	// The current suspicion counts: the request may have been at its worker
 	// before others of its kind were beside a crash elsewhere.
 	if l, n := k.suspected(r, q); l.Level(n) > 0 {
 		k.Cleared(n)
