--- a/caller/connection.go
+++ b/caller/connection.go
@@ -28,20 +28,33 @@
 	ended   chan struct{} // closed when the reading ahead has ended; nil if there is none
 }
 
-// NewConnection returns the connection c.
-func NewConnection(c net.Conn) *Connection {
-	n := &Connection{Conn: c, left: func() {}}
-	n.changed.L = &n.mu
-	return n
+// Listener makes each connection that it accepts a Connection.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(c), nil
 }
 
-// Context returns the context of the connection's requests, which ends when
-// the caller has left. It is called once, before the first read.
-func (c *Connection) Context(x context.Context) context.Context {
-	x, c.left = context.WithCancel(x)
+// ConnContext is the http.Server.ConnContext for connections of a Listener: the
+// context of their requests ends when the caller has left.
+func ConnContext(x context.Context, c net.Conn) context.Context {
+	if k, ok := c.(*Connection); ok {
+		x, k.left = context.WithCancel(x)
+	}
 	return x
 }
 
+func newConnection(c net.Conn) *Connection {
+	n := &Connection{Conn: c, left: func() {}}
+	n.changed.L = &n.mu
+	return n
+}
+
 // Read implements net.Conn.
 func (c *Connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -17,17 +16,6 @@
 	"figwheel/caller"
 )
 
-// callerListener wraps what it accepts, as the daemon's listener for callers.
-type callerListener struct{ net.Listener }
-
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return caller.NewConnection(c), nil
-}
-
 // serveCallers answers requests by h and returns the address.
 func serveCallers(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
@@ -38,12 +26,10 @@
 	s := &http.Server{
 		Handler:     h,
 		IdleTimeout: 10 * time.Second,
-		ConnContext: func(x context.Context, c net.Conn) context.Context {
-			return c.(*caller.Connection).Context(x)
-		},
+		ConnContext: caller.ConnContext,
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(callerListener{l}) }()
+	go func() { ended <- s.Serve(caller.Listener{Listener: l}) }()
 	t.Cleanup(func() {
 		_ = s.Close()
 		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"figwheel/caller"
 )
 
 // lastingListener is a listener that can be given up without losing whom it has
@@ -36,18 +34,6 @@
 	return &lastingListener{Listener: l, ended: make(chan struct{})}
 }
 
-// callerListener makes what it accepts a connection of a caller.
-type callerListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return caller.NewConnection(c), nil
-}
-
 // retire stops listening. It returns when the server has taken the last
 // connection.
 func (l *lastingListener) retire() {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -111,12 +111,7 @@
 // startCallers is start for the address that callers use.
 func (s *servers) startCallers(a net.Listener, h http.Handler) *server {
 	l := newLastingListener(a)
-	return s.serve(l, callerListener{l}, h, func(x context.Context, c net.Conn) context.Context {
-		if k, ok := c.(*caller.Connection); ok {
-			return k.Context(x)
-		}
-		return x
-	})
+	return s.serve(l, caller.Listener{Listener: l}, h, caller.ConnContext)
 }
 
 func (s *servers) start(a net.Listener, h http.Handler) *server {
--- a/instance/table.go
+++ b/instance/table.go
@@ -337,7 +337,7 @@
 	s := t.Self().Site
 	l := t.some(r, k-1, func(m Record) bool { return m.Site == s })
 	far := t.some(r, k-len(l), func(m Record) bool { return m.Site != s })
-	if n := k - len(l) - len(far); n > 0 && len(far) == 0 {
+	if len(far) == 0 {
 		return t.some(r, k, func(m Record) bool { return m.Site == s })
 	}
 	return append(l, far...)
