contract, upstream: log the notices that a worker states in its answers

Nothing in the logs showed that a worker names a rate limit, nor how many requests it got. Nothing is decided by them yet.

--- a/contract/headers.go
+++ b/contract/headers.go
@@ -10,11 +10,15 @@
 	Origin    string // service of the worker whose daemon received the request from its caller
 	Target    string // id of the only worker that may run the request
 	NotRun    string // present in an answer if the worker did not run the request
+	RateLimit string // rate limit of the worker in requests per second, in its answers while it has one
+	Leaving   string // present in the answers of a worker that is about to end
 	Exchange  string // id of one request to the worker where RequestID is not used; workers may echo it
 }
 
 // OwnHeaders returns the names of the headers of figwheel's own interface.
-func OwnHeaders() Headers { return Headers{Deadline: DeadlineHeader, Exchange: ExchangeHeader} }
+func OwnHeaders() Headers {
+	return Headers{Deadline: DeadlineHeader, Exchange: ExchangeHeader, RateLimit: RateLimitHeader, Leaving: LeavingHeader}
+}
 
 // IsForwarded reports whether the named header, which starts with HeaderPrefix,
 // is forwarded unchanged to the worker or back to the caller.
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -49,6 +49,9 @@
 	DeadlineHeader = "Figwheel-Deadline-Ms"
 	DepthHeader    = "Figwheel-Depth"
 	ExchangeHeader = "Figwheel-Exchange"
+	// A worker states these in its answers.
+	RateLimitHeader = "Figwheel-Rate-Limit"
+	LeavingHeader   = "Figwheel-Leaving"
 
 	ServiceHeader = "Figwheel-Service"
 	ReleaseHeader = "Figwheel-Release"
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -64,6 +64,8 @@
 	polling           bool
 	pollJitter        float64                 // from 0 to 1, drawn for each read
 	configVersion     string                  // version of the configuration object at the last read
+	noticedAt         time.Time               // of the last notice of the worker
+	noticedSent       int64                   // requests sent to the worker by then
 	workerUnready     bool                    // the worker answered askWorker that it is not ready, and has not announced itself since
 	loggedFaults      map[string]bool         // texts of the configuration faults that were logged
 	platformReachable bool                    // whether the last call of the platform was answered
@@ -119,6 +121,7 @@
 		taskEnded:         make(chan struct{}),
 
 		suspectSendsLeft: make(map[poison.Fingerprint]int),
+		noticedAt:        n,
 	}
 }
 
@@ -146,6 +149,8 @@
 			c.gossip()
 		case a := <-c.d.unreachableWorkers:
 			c.workerUnreachable(a, c.d.now())
+		case <-c.d.workerNotices:
+			c.applyNotice(c.d.now())
 		case f := <-c.d.clearedRequests:
 			if s, ok := c.suspects.Get(f); ok {
 				s.Cleared = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,7 @@
 	requests           chan func(*control)                 // run on the control goroutine
 	unreachableWorkers chan upstream.Announcement          // last announcement of a worker that takes no connections
 	clearedRequests    chan poison.Fingerprint             // suspected requests that the worker answered
+	workerNotices      chan struct{}                       // signalled when the worker states something else about itself
 	stopped            chan struct{}                       // closed when the control goroutine takes no more requests
 	killed             chan struct{}                       // closed by tests to end the daemon without a drain
 	contents           singleflight.Group                  // shares concurrent fetches of one content, by its hash
@@ -98,6 +99,7 @@
 		requests:           make(chan func(*control)),
 		unreachableWorkers: make(chan upstream.Announcement, 1),
 		clearedRequests:    make(chan poison.Fingerprint, 1),
+		workerNotices:      make(chan struct{}, 1),
 		stopped:            make(chan struct{}),
 		killed:             make(chan struct{}),
 	}
@@ -116,6 +118,7 @@
 	d.worker.SetLink(o.Settings.LinkMbps * bytesPerMegabit)
 	d.worker.Unreachable = d.reportUnreachable
 	d.worker.Cleared = d.reportCleared
+	d.worker.Noticed = d.signalNotice
 	d.peers = peer.NewClient(&d.meter, o.Dial)
 	d.view.Store(caller.NewView(nil, nil))
 	m, err := metric.New(metric.Gauges{
@@ -124,6 +127,7 @@
 		ControlOut:   d.meter.Out,
 		InFlight:     func() int64 { return int64(d.worker.InFlight()) },
 		PlatformCall: d.store.calls.Load,
+		Sent:         d.worker.Sent,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -82,6 +82,36 @@
 	}
 }
 
+// signalNotice tells the control goroutine that the worker states something else
+// about itself. It does not block: it is called on the path of calls.
+func (d *Daemon) signalNotice() {
+	select {
+	case d.workerNotices <- struct{}{}:
+	default: // the goroutine has not read the notice before yet, and will read this one
+	}
+}
+
+// applyNotice applies the last notice of the worker.
+func (c *control) applyNotice(now time.Time) {
+	n, ok := c.d.worker.Notice()
+	if !ok {
+		return
+	}
+	sent := c.d.worker.Sent()
+	a := []slog.Attr{
+		slog.String("ID", n.Worker.ID),
+		slog.String("RateLimit", n.RateLimit),
+		slog.String("Leaving", n.Leaving),
+		slog.Int64("Sent", sent-c.noticedSent),
+		slog.Duration("Period", now.Sub(c.noticedAt)),
+	}
+	if _, _, err := n.RequestsPerSecond(); err != nil {
+		a = append(a, slog.String("Cause", err.Error()))
+	}
+	c.noticedAt, c.noticedSent = now, sent
+	c.d.event(c.x, event.WorkerNoticed, a...)
+}
+
 // workerUnreachable marks the worker as lost unless it has announced itself
 // since the calls that found it unreachable.
 func (c *control) workerUnreachable(a upstream.Announcement, now time.Time) {
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,7 @@
 	WorkerSilent
 	AnnouncementDoubted
 	Panicked
+	WorkerNoticed
 )
 
 // Events of the connection to the platform.
@@ -114,6 +115,7 @@
 	{WorkerSilent, "WorkerSilent", slog.LevelInfo, "The worker did not answer after the daemon's start; the daemon waits for its announcement."},
 	{AnnouncementDoubted, "AnnouncementDoubted", slog.LevelInfo, "After the daemon's start the worker said that it is not ready; its next announcement decides."},
 	{Panicked, "Panicked", slog.LevelError, "A task or the handling of a message panicked; the daemon continues without it."},
+	{WorkerNoticed, "WorkerNoticed", slog.LevelInfo, "The worker states another rate limit in its answers, or that it is leaving; Sent is the number of requests that it got in Period, since the notice before."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; the daemon keeps serving the configuration in force."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -49,9 +49,10 @@
 	Text    string
 	Status  int // HTTP status of the forwarded response or of a daemon's refusal, otherwise 0
 	Begun   bool
-	Release string // release header of a daemon's response
-	Load    string // load header of a daemon's response
-	Age     string // age header of a daemon's response: age of the newest confirmation of its release, in milliseconds
+	Release string          // release header of a daemon's response
+	Load    string          // load header of a daemon's response
+	Notice  contract.Notice // what the worker stated in its answer; empty if a daemon answered
+	Age     string          // age header of a daemon's response: age of the newest confirmation of its release, in milliseconds
 }
 
 // OK reports whether the response was forwarded completely.
@@ -126,8 +127,15 @@
 			f.Text = "the daemon beside the upstream answered " + c
 			return f
 		}
-	} else if v := h.checkWorker(r, p); !v.OK() {
-		return v
+	} else {
+		v := h.checkWorker(r, p)
+		if v.OK() || v.Code == result.WorkerRefused {
+			v.Notice = h.Headers.Notice(p.Header)
+		}
+		if !v.OK() {
+			return v
+		}
+		f.Notice = v.Notice
 	}
 	k := bufferPool.Get().(*[bufferBytes]byte)
 	defer bufferPool.Put(k)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -28,6 +28,7 @@
 	ControlOut   func() int64 // control bytes sent to other daemons since the start
 	InFlight     func() int64 // requests at the worker or waiting for it
 	PlatformCall func() int64 // calls to the platform since the start
+	Sent         func() int64 // requests sent to the worker since the start
 }
 
 // Set holds the instruments of one daemon.
@@ -77,6 +78,7 @@
 	e.Add(counter(m, "figwheel.control.received", "By", g.ControlIn))
 	e.Add(counter(m, "figwheel.control.sent", "By", g.ControlOut))
 	e.Add(counter(m, "figwheel.platform.calls", "", g.PlatformCall))
+	e.Add(counter(m, "figwheel.worker.sent", "", g.Sent))
 	return e.Err()
 }
 
--- a/result/code.go
+++ b/result/code.go
@@ -94,6 +94,7 @@
 	BadAnnouncement
 	Stopped
 	OldAnnouncement
+	BadNotice
 )
 
 // Entry is one row of the table of codes.
@@ -174,6 +175,7 @@
 	{BadAnnouncement, "BadAnnouncement", "A worker's announcement cannot be read."},
 	{Stopped, "Stopped", "The daemon is stopping."},
 	{OldAnnouncement, "OldAnnouncement", "A worker's announcement is older than what is known of the worker here."},
+	{BadNotice, "BadNotice", "A header in which a worker states its rate limit cannot be read; the last one that could stays in force."},
 }
 
 // Table returns every code in ascending order.
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -56,12 +56,19 @@
 	// request; may be nil.
 	Cleared func(f poison.Fingerprint)
 
+	// Noticed is called when what the worker states about itself in its answers
+	// has changed, see Notice; may be nil.
+	Noticed func()
+
 	gate       Gate
 	state      atomic.Pointer[workerState]
 	lastAnswer link.Moment
 
 	suspects atomic.Pointer[poison.List]
 
+	notice    atomic.Pointer[Notice] // last one, nil before the first answer of this start
+	sentCount atomic.Int64
+
 	exchangeCount atomic.Uint64 // requests that were numbered by nextExchange
 
 	mu          sync.Mutex
@@ -106,6 +113,9 @@
 		n.transport = hop.NewTransport(n.connections, dialTimeout, idleConnTimeout)
 	}
 	k.state.Store(n)
+	if o != nil && n.IsOtherStart(o.Announcement) {
+		k.notice.Store(nil)
+	}
 	k.gate.SetLimits(n.slots, n.queue, now)
 	if o != nil && o.transport != n.transport {
 		o.transport.CloseIdleConnections()
@@ -191,6 +201,7 @@
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
 	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.headerFields(x, s, q, began), Exchange: k.nextExchange(), Echoes: s.echoesExchange}
+	k.sentCount.Add(1)
 	f := h.Do(x, w, r, q.Body)
 	e = endingOf(f)
 	k.recordResult(x, s, &f, q.Now())
@@ -332,6 +343,7 @@
 func (k *Worker) recordResult(x context.Context, s *workerState, f *hop.Result, now time.Time) {
 	if f.Status > 0 || f.Code == result.WorkerRefused {
 		k.lastAnswer.Set(now)
+		k.recordNotice(s.Announcement, f.Notice)
 	}
 	if f.Outcome != contract.NotRun || x.Err() != nil {
 		if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
