upstream, link: keep to the rate limit that a worker states

Cause: the gate of a daemon knows slots only. A worker's own statement of what it takes was passed on to the caller unread.

All requests to a worker go through the gate of the daemon beside it, so the gate counts them exactly and needs no agreement. It now admits at the stated rate (a token bucket of half a second, empty at the start), counts the wait for the rate in the expected wait, so that what would miss its goal is rejected on arrival, and reports limit and wait to the other daemons with each response. They offer requests to other instances meanwhile. A limit ends with the first answer that states none, or with the start of the worker; one that cannot be read changes nothing. A limit below 0.5 a second counts as 0.5, since only an answer shows that it has ended.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -317,7 +317,8 @@
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
 		f := h.Worker.Serve(y, w, r, now, upstream.Request{AdmissionRequest: c.admission, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.workerHeaders, Now: h.Now, Crashes: c.crashes})
-		k.Peer.End(h.Worker.Load(c.admission.Kind).String(), c.admission.Kind, h.Now())
+		now = h.Now()
+		k.Peer.End(h.Worker.Load(now, c.admission.Kind).String(), c.admission.Kind, now)
 		c.countCrash(f)
 		return f
 	}
--- a/caller/link.go
+++ b/caller/link.go
@@ -64,7 +64,7 @@
 // addLoad sets the load header of the answer to r. It is called just before the
 // answer is sent, so that the load is current.
 func (h *LinkHandler) addLoad(a http.Header, r *http.Request) {
-	a.Set(contract.LoadHeader, h.Worker.Load(r.Header.Get(contract.KindHeader)).String())
+	a.Set(contract.LoadHeader, h.Worker.Load(h.Now(), r.Header.Get(contract.KindHeader)).String())
 }
 
 // serve passes the request to the worker within the deadline of its headers.
--- a/link/choose.go
+++ b/link/choose.go
@@ -55,15 +55,21 @@
 	if c.Peer.reportedAt.age(n) > freshLoadAgeMax {
 		return true
 	}
+	if c.Peer.rateLimit() > 0 || other.Peer.rateLimit() > 0 {
+		return c.Peer.rateWait(n) == 0 // slots do not show how full an instance with a rate limit is
+	}
 	return c.Peer.load(n)*max(1, other.Slots) < other.Peer.load(n)*max(1, c.Slots)
 }
 
-// HasFreeSlot reports whether the instance is estimated to have a free slot at now.
-func (c *Candidate) HasFreeSlot(now time.Time) bool { return c.Peer.Load(now) < c.Slots }
+// HasFreeSlot reports whether the instance is estimated to have a free slot at now
+// that its rate limit lets it use.
+func (c *Candidate) HasFreeSlot(now time.Time) bool {
+	return c.Peer.Load(now) < c.Slots && c.Peer.rateWait(instantOf(now)) == 0
+}
 
 // cost returns the expected time of a request of the kind at the instance: the
-// wait for a slot, estimated from the service time of all kinds, and the service
-// time of this kind. It adds a share of the latter for occupied slots, far for an
+// wait for a slot, estimated from the service time of all kinds, or for its rate
+// limit, whichever is longer, and the service time of this kind. It adds a share of the latter for occupied slots, far for an
 // instance at another site, and ejectedCost for one that is ejected or
 // unresponsive. The less is known of the service time of this kind, the more mean
 // replaces it. With the service time of all kinds in its place, an instance that
@@ -72,10 +78,11 @@
 	h := weightedMean(mean)(c.Peer.kindServiceTime(kind, now))
 	slots := float64(max(1, c.Slots))
 	load := c.Peer.expectedLoad(now)
-	d := h
+	var wait time.Duration
 	if n := load + 1 - slots; n > 0 {
-		d += time.Duration(float64(weightedMean(h)(c.Peer.serviceTime(now))) * n / slots)
+		wait = time.Duration(float64(weightedMean(h)(c.Peer.serviceTime(now))) * n / slots)
 	}
+	d := h + max(wait, c.Peer.rateWait(now))
 	// Of two instances with free slots, the less loaded one is preferred: its
 	// slots are more likely to be free still.
 	d += time.Duration(float64(h) * min(load, slots) / slots * occupancyCostShare)
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -266,3 +266,74 @@
 		}
 	}
 }
+
+// TestChooseSparesInstanceAtItsRateLimit guards against requests that are offered
+// to an instance whose rate limit does not admit them, only because it looks idle.
+func TestChooseSparesInstanceAtItsRateLimit(t *testing.T) {
+	limited, other := &link.Peer{}, &link.Peer{}
+	other.Report(link.Load{InFlight: 3}, "k", now)
+	limited.Report(link.Load{RateLimit: 2, Wait: 400 * time.Millisecond}, "k", now)
+	l := link.NewCandidates([]link.Candidate{
+		{Name: "limited", Slots: 4, SameSite: true, Peer: limited},
+		{Name: "other", Slots: 4, SameSite: true, Peer: other},
+	})
+	r := rand.New(rand.NewPCG(1, 1))
+	choose := func(after time.Duration) *link.Candidate {
+		return l.Choose(now.Add(after), "k", r, nil, link.OtherSiteCost)
+	}
+	var got []string
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 401 * time.Millisecond} {
+		got = append(got, choose(after).Name)
+	}
+	k := choose(401 * time.Millisecond)
+	if !k.HasFreeSlot(now.Add(401 * time.Millisecond)) {
+		t.Error("no free slot when the rate limit admits a request")
+	}
+	k.Peer.Begin(now.Add(401 * time.Millisecond)) // uses up what the limit admits in half a second
+	if k.HasFreeSlot(now.Add(500 * time.Millisecond)) {
+		t.Error("a free slot while the rate limit admits no request")
+	}
+	got = append(got, choose(500*time.Millisecond).Name)
+	k.Peer.End("0 1000 1000", "k", now.Add(600*time.Millisecond)) // it states no limit any more
+	if !k.HasFreeSlot(now.Add(600 * time.Millisecond)) {
+		t.Error("no free slot when there is no rate limit any more")
+	}
+	if d := cmp.Diff([]string{"other", "other", "limited", "other"}, got); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
+// TestMayHaveRoomUnderRateLimit guards against giving up a request because an
+// instance with a rate limit rejected it, whose few requests in flight say nothing
+// about the others.
+func TestMayHaveRoomUnderRateLimit(t *testing.T) {
+	limited, other := &link.Candidate{Slots: 4, Peer: &link.Peer{}}, &link.Candidate{Slots: 4, Peer: &link.Peer{}}
+	limited.Peer.Report(link.Load{RateLimit: 2, Wait: 400 * time.Millisecond}, "k", now)
+	other.Peer.Report(link.Load{InFlight: 3}, "k", now)
+	if !other.MayHaveRoom(limited, now) || limited.MayHaveRoom(other, now) {
+		t.Errorf("other %t, limited %t, want true and false", other.MayHaveRoom(limited, now), limited.MayHaveRoom(other, now))
+	}
+}
+
+// TestLoadReportFormat guards against a report that another build cannot read: one
+// of a worker without a rate limit has three fields, as before.
+func TestLoadReportFormat(t *testing.T) {
+	cases := []struct {
+		load link.Load
+		text string
+	}{
+		{link.Load{InFlight: 3, Hold: time.Millisecond, Work: 2 * time.Millisecond}, "3 1000 2000"},
+		{link.Load{InFlight: 3, RateLimit: 2.5, Wait: time.Second}, "3 0 0 2500 1000000"},
+	}
+	for _, c := range cases {
+		l, ok := link.ParseLoad(c.text)
+		if d := cmp.Diff(c.load, l); d != "" || !ok || c.load.String() != c.text {
+			t.Errorf("%s: %s, %t (-want +got)\n%s", c.text, c.load, ok, d)
+		}
+	}
+	for _, s := range []string{"3 0 0 NaN 5", "3 0 0 -1 5", "3 0 0 x x", "3 0 0 7"} {
+		if l, ok := link.ParseLoad(s); !ok || l.RateLimit != 0 {
+			t.Errorf("%s: %+v, %t", s, l, ok)
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,31 +37,69 @@
 	InFlight int           // requests at the worker and in its queue
 	Hold     time.Duration // mean service time of all requests, 0 if unknown
 	Work     time.Duration // mean service time of one kind, increased by the cost of the requests that fail, 0 if unknown
+
+	RateLimit float64       // requests per second that the worker takes, 0 if it states no limit
+	Wait      time.Duration // until the rate limit admits one more request
 }
 
 // String returns the load in the format of the load header of a response: the
 // requests in flight, and the mean service times in microseconds of all requests
-// and of those of the response's kind.
+// and of those of the response's kind. If there is a rate limit, it in
+// thousandths of a request per second and the wait in microseconds follow.
 func (l Load) String() string {
-	return fmt.Sprintf("%d %d %d", l.InFlight, l.Hold.Microseconds(), l.Work.Microseconds())
+	s := fmt.Sprintf("%d %d %d", l.InFlight, l.Hold.Microseconds(), l.Work.Microseconds())
+	if l.RateLimit > 0 {
+		s += fmt.Sprintf(" %d %d", milliRate(l.RateLimit), l.Wait.Microseconds())
+	}
+	return s
 }
 
 // ParseLoad parses a load in the format of Load.String and reports whether s holds
-// one. A service time that is missing or malformed becomes 0.
+// one. A service time, rate limit or wait that is missing or malformed becomes 0.
 func ParseLoad(s string) (Load, bool) {
 	a, rest, _ := strings.Cut(s, " ")
 	n, err := strconv.Atoi(a)
 	if err != nil || n < 0 {
 		return Load{}, false
 	}
-	b, c, _ := strings.Cut(rest, " ")
-	return Load{n, parseMicros(b), parseMicros(c)}, true
+	b, rest, _ := strings.Cut(rest, " ")
+	c, rest, _ := strings.Cut(rest, " ")
+	l := Load{InFlight: n, Hold: parseMicros(b), Work: parseMicros(c)}
+	if d, e, ok := strings.Cut(rest, " "); ok {
+		if l.RateLimit = parseRate(d); l.RateLimit > 0 {
+			l.Wait = parseMicros(e)
+		}
+	}
+	return l, true
 }
 
+// rateLimitMax bounds the rate limits that are accepted from an instance, in
+// requests per second.
+const rateLimitMax = 1e6
+
 // serviceTimeMax bounds the service times that are accepted from an instance; a
 // greater one is taken as unknown.
 const serviceTimeMax = time.Hour
 
+// milliRate returns a rate in thousandths of a request per second, at least 1 for
+// a rate above 0, since 0 stands for no limit.
+func milliRate(perSecond float64) int64 {
+	if perSecond <= 0 {
+		return 0
+	}
+	return max(1, int64(math.Round(min(perSecond, rateLimitMax)*milliPerRequest)))
+}
+
+// parseRate parses a rate in thousandths of a request per second; it returns 0 if
+// that is malformed or out of range.
+func parseRate(s string) float64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 || n > rateLimitMax*milliPerRequest {
+		return 0
+	}
+	return float64(n) / milliPerRequest
+}
+
 // parseMicros parses a time in microseconds; it returns 0 if that is missing,
 // malformed or out of range.
 func parseMicros(s string) time.Duration {
@@ -80,6 +119,8 @@
 	meanInFlightMilli atomic.Int64 // mean of the reports, in thousandths of a request plus 1; 0 before the first
 	serviceNanos      atomic.Int64 // mean service time of all requests
 	lastResponse      Moment       // of the last response, or of the first request after none was in flight
+	rateLimitMilli    atomic.Int64 // last reported rate limit of the worker, in thousandths of a request per second; 0 for none
+	admittedFrom      Moment       // when the rate limit is expected to admit the next request
 	ejectedUntil      Moment
 	kinds             sync.Map // of *kindStats, by kind of request
 }
@@ -106,6 +147,22 @@
 		p.lastResponse.Set(now)
 	}
 	p.reportedInFlight.Add(1)
+	if l := p.rateLimit(); l > 0 {
+		p.admittedFrom.Set(now.Add(p.rateWait(instantOf(now)) + time.Duration(float64(time.Second)/l)))
+	}
+}
+
+// rateLimit returns the rate limit of the worker in requests per second, 0 for
+// none.
+func (p *Peer) rateLimit() float64 { return float64(p.rateLimitMilli.Load()) / milliPerRequest }
+
+// rateWait returns the time until the rate limit of the worker is expected to
+// admit a request.
+func (p *Peer) rateWait(now instant) time.Duration {
+	if p.rateLimitMilli.Load() == 0 {
+		return 0
+	}
+	return max(0, -p.admittedFrom.age(now))
 }
 
 // Unresponsive reports whether the instance is unresponsive at now: requests of
@@ -147,6 +204,10 @@
 	}
 	p.meanInFlightMilli.Store(n)
 	p.reportedAt.Set(now)
+	if l.RateLimit > 0 {
+		p.admittedFrom.Set(now.Add(l.Wait))
+	}
+	p.rateLimitMilli.Store(milliRate(l.RateLimit))
 	if l.Hold > 0 {
 		p.serviceNanos.Store(int64(l.Hold))
 	}
@@ -175,7 +236,8 @@
 	return own + int64(float64(others)*(1-float64(age)/float64(loadAgeMax))+0.5)
 }
 
-// milliPerRequest is the number of units of Peer.meanInFlightMilli in one request.
+// milliPerRequest is the number of units in one request where requests are counted
+// in thousandths.
 const milliPerRequest = 1000
 
 // expectedLoad is Load with the mean load taken into account: within loadAgeMax the
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -52,6 +52,7 @@
 
 // Gate is the admission control of a worker: it admits as many requests as the
 // worker has slots and decides which of the others wait and which are rejected.
+// It also keeps to the worker's rate limit, which requests wait for as for a slot.
 // Requests are admitted by rank. Within a rank the request with the earliest
 // goal that it can still meet is admitted first, so that short requests with
 // close goals overtake long ones that have time. A request that would miss its
@@ -63,7 +64,9 @@
 	slots            int
 	queue            int
 	slotsInUse       int
-	waiting          []*waiter                // in the order of arrival
+	waiting          []*waiter // in the order of arrival
+	limit            rateLimit
+	wake             *time.Timer              // runs while waiting requests lack only the rate limit, else nil
 	serviceTime      time.Duration            // mean of all requests, 0 before the first
 	kindServiceTimes map[string]time.Duration // mean by kind
 	failureRate      float64                  // moving average, 0 to 1
@@ -92,6 +95,31 @@
 	g.admit(now)
 }
 
+// SetRateLimit sets the number of requests per second that the worker takes.
+func (g *Gate) SetRateLimit(perSecond float64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.set(perSecond, now)
+	g.limitChanged(now)
+}
+
+// ClearRateLimit removes the limit that SetRateLimit has set.
+func (g *Gate) ClearRateLimit(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.clear()
+	g.limitChanged(now)
+}
+
+// limitChanged admits the requests that the new rate limit allows.
+func (g *Gate) limitChanged(now time.Time) {
+	if g.wake != nil {
+		g.wake.Stop()
+		g.wake = nil
+	}
+	g.admit(now)
+}
+
 // meanServiceTime returns the mean time that a request holds a slot.
 func (g *Gate) meanServiceTime() time.Duration { return cmp.Or(g.serviceTime, serviceTimeDefault) }
 
@@ -101,20 +129,37 @@
 	return cmp.Or(g.kindServiceTimes[kind], g.meanServiceTime())
 }
 
-// expectedWait returns how long w is expected to wait for a slot: one mean
-// service time for the slots in use, and the service times of the waiting
-// requests that are admitted before w, divided among the slots.
+// expectedWait returns how long w is expected to wait for a slot and for the rate
+// limit, whichever takes longer. The wait for a slot is one mean service time for
+// the slots in use, and the service times of the waiting requests that are admitted
+// before w, divided among the slots.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
 	if g.slots <= 0 {
 		return 0
 	}
 	d := g.meanServiceTime()
+	ahead := 0
 	for _, o := range g.waiting {
 		if g.compare(o, w, now) <= 0 {
 			d += o.serviceTime
+			ahead++
 		}
 	}
-	return d / time.Duration(g.slots)
+	d /= time.Duration(g.slots)
+	if g.slotsInUse+ahead < g.slots {
+		d = 0
+	}
+	return max(d, g.limit.delay(ahead+1, now))
+}
+
+// usableSlots returns the number of slots that can be in use at the same time,
+// which a rate limit lowers to the product of the limit and the service time.
+func (g *Gate) usableSlots() float64 {
+	n := float64(g.slots)
+	if l := g.limit.perSecond(); l > 0 {
+		n = min(n, l*g.meanServiceTime().Seconds())
+	}
+	return n
 }
 
 // meetsGoal reports whether w is expected to meet its goal if it gets a slot
@@ -138,7 +183,7 @@
 			n++
 		}
 	}
-	return float64(n) >= max(overloadWaitersMin, overloadWaitersPerSlot*float64(g.slots))
+	return float64(n) >= max(overloadWaitersMin, overloadWaitersPerSlot*g.usableSlots())
 }
 
 // admit rejects waiting requests that would miss their deadlines or, under
@@ -152,12 +197,32 @@
 		w.decision <- result.Overloaded
 		return true
 	})
-	for g.slotsInUse < g.slots && len(g.waiting) > 0 {
+	for g.slotsInUse < g.slots && len(g.waiting) > 0 && g.limit.take(now) {
 		w := slices.MinFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
 		g.remove(w)
 		g.slotsInUse++
 		w.decision <- 0
 	}
+	g.scheduleWake(now)
+}
+
+// scheduleWake calls admit once the rate limit admits the next request, if waiting
+// requests lack only that.
+func (g *Gate) scheduleWake(now time.Time) {
+	if g.wake != nil || len(g.waiting) == 0 || g.slotsInUse >= g.slots || g.limit.limiter == nil {
+		return
+	}
+	began := time.Now()
+	var t *time.Timer
+	t = time.AfterFunc(g.limit.delay(1, now), func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.wake == t {
+			g.wake = nil
+			g.admit(now.Add(time.Since(began)))
+		}
+	})
+	g.wake = t
 }
 
 // remove deletes w from the queue.
@@ -189,7 +254,7 @@
 // CallerGone. Leave releases the slot.
 func (g *Gate) Enter(x context.Context, now time.Time, q AdmissionRequest) result.Code {
 	g.mu.Lock()
-	if g.slotsInUse < g.slots && len(g.waiting) == 0 {
+	if g.slotsInUse < g.slots && len(g.waiting) == 0 && g.limit.take(now) {
 		g.slotsInUse++
 		g.mu.Unlock()
 		return 0
@@ -200,6 +265,7 @@
 		return result.Overloaded
 	}
 	g.waiting = append(g.waiting, w)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	select {
 	case c := <-w.decision:
@@ -310,14 +376,18 @@
 
 // Load returns the load report that is attached to each response: the number of
 // requests that hold a slot, wait for one or have a large body in flight or
-// waiting, the mean service time of all requests, and that of the kind, increased
-// by the cost of the requests that fail.
-func (g *Gate) Load(kind string) link.Load {
+// waiting, the mean service time of all requests, that of the kind, increased by
+// the cost of the requests that fail, and the rate limit with the time until it
+// admits one more request.
+func (g *Gate) Load(now time.Time, kind string) link.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return link.Load{
 		InFlight: g.slotsInUse + len(g.waiting) + g.bodiesInFlight + len(g.waitingBodies),
 		Hold:     g.serviceTime,
 		Work:     time.Duration((1 + failureCost*g.failureRate) * float64(g.kindServiceTimes[kind])),
+
+		RateLimit: g.limit.perSecond(),
+		Wait:      g.limit.delay(len(g.waiting)+1, now),
 	}
 }
--- a/upstream/gate_body.go
+++ b/upstream/gate_body.go
@@ -71,10 +71,11 @@
 // the gate empty is not rejected for a late body.
 func (g *Gate) rejectsBody(w *waiter, now time.Time) bool {
 	inFlight := g.slotsInUse + len(g.waiting) + g.bodiesInFlight + len(g.waitingBodies)
-	if w.NoWait && (inFlight >= g.slots || len(g.waitingBodies) > 0 || !g.linkHasRoom(w.bodyBytes)) {
+	full := inFlight >= g.slots || g.limit.delay(len(g.waiting)+g.bodiesInFlight+len(g.waitingBodies)+1, now) > 0
+	if w.NoWait && (full || len(g.waitingBodies) > 0 || !g.linkHasRoom(w.bodyBytes)) {
 		return true
 	}
-	if inFlight >= g.slots && (inFlight >= g.slots+g.queue || g.rejects(w, now)) {
+	if full && (inFlight >= g.slots+g.queue || g.rejects(w, now)) {
 		return true
 	}
 	t := now.Add(g.transferTime(w.bodyBytes))
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -149,7 +149,7 @@
 				g.Leave(start, "k", held, e)
 			}
 		}
-		return g.Load("k").Work
+		return g.Load(start, "k").Work
 	}
 	cases := []struct {
 		name      string
@@ -236,7 +236,7 @@
 					synctest.Wait()
 				}
 				waiting.Wait()
-				if n := g.Load("k").InFlight; n != c.slotsInUse {
+				if n := g.Load(time.Now(), "k").InFlight; n != c.slotsInUse {
 					t.Errorf("a load of %d after all bodies were received, want %d", n, c.slotsInUse)
 				}
 			})
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"figwheel/contract"
 	"figwheel/hop"
 	"figwheel/instance"
+	"figwheel/result"
 	"figwheel/upstream"
 )
 
@@ -100,3 +102,171 @@
 		t.Errorf("%d requests in %s, want at least %d", n, window, limit/2)
 	}
 }
+
+// TestGateAdmitsAtRateLimit sends requests at the time of a simulated clock. It
+// guards against bursts above the limit, against requests that wait for the limit
+// and are never admitted, and against a limit that outlasts its end.
+func TestGateAdmitsAtRateLimit(t *testing.T) {
+	type step struct {
+		at    time.Duration
+		limit float64 // negative: no limit
+	}
+	cases := []struct {
+		name      string
+		steps     []step
+		want, max int           // admitted from the last step until the end, at least and at most
+		end       time.Duration // of the test
+	}{
+		{"from its statement", []step{{0, 10}}, 38, 41, 4 * time.Second},
+		{"after the worker was idle", []step{{-5 * time.Second, 10}, {0, 10}}, 43, 45, 4 * time.Second},
+		{"a lower limit", []step{{-5 * time.Second, 50}, {0, 10}}, 38, 45, 4 * time.Second},
+		{"a higher limit", []step{{-time.Second, 1}, {0, 50}}, 190, 225, 4 * time.Second},
+		{"a fraction", []step{{0, 0.75}}, 2, 3, 4 * time.Second},
+		{"none at all, which only an answer can end", []step{{0, 0}}, 1, 5, 4 * time.Second},
+		{"no limit any more", []step{{-time.Second, 1}, {0, -1}}, 380, 1 << 20, 4 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g upstream.Gate
+				g.SetLimits(8, 64, time.Now())
+				for i, s := range c.steps {
+					if i > 0 {
+						time.Sleep(s.at - c.steps[i-1].at)
+					}
+					if s.limit < 0 {
+						g.ClearRateLimit(time.Now())
+					} else {
+						g.SetRateLimit(s.limit, time.Now())
+					}
+				}
+				end := time.Now().Add(c.end)
+				var all sync.WaitGroup
+				var mu sync.Mutex
+				n := 0
+				for time.Now().Before(end) {
+					all.Go(func() {
+						x, stop := context.WithDeadline(context.Background(), end)
+						defer stop()
+						if g.Enter(x, time.Now(), upstream.AdmissionRequest{Kind: "k", Deadline: end}) != 0 {
+							return
+						}
+						mu.Lock()
+						n++
+						mu.Unlock()
+						time.Sleep(time.Millisecond)
+						g.Leave(time.Now(), "k", time.Millisecond, upstream.Answered)
+					})
+					time.Sleep(10 * time.Millisecond)
+				}
+				all.Wait()
+				if n < c.want || n > c.max {
+					t.Errorf("%d admitted, want %d to %d", n, c.want, c.max)
+				}
+				if f := g.InFlight(); f != 0 {
+					t.Errorf("%d in flight at the end", f)
+				}
+			})
+		})
+	}
+}
+
+// TestGateKeepsRateLimitWhenTimesAreOutOfOrder guards against requests that read
+// the clock before others and enter after them, for which the time between would
+// be credited twice.
+func TestGateKeepsRateLimitWhenTimesAreOutOfOrder(t *testing.T) {
+	start := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	var g upstream.Gate
+	g.SetLimits(1000, 0, start)
+	g.SetRateLimit(10, start)
+	n := 0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		for _, d := range []time.Duration{0, -9 * time.Millisecond, 5 * time.Millisecond} {
+			if g.Enter(context.Background(), now.Add(d), upstream.AdmissionRequest{NoWait: true}) == 0 {
+				n++
+			}
+		}
+	}
+	if n > 41 {
+		t.Errorf("%d admitted in 4 s, want at most 41", n)
+	}
+}
+
+// TestGateRejectsWhatTheRateLimitMakesLate guards against requests that wait for
+// the rate limit beyond their goals or deadlines, with and without a body to send.
+func TestGateRejectsWhatTheRateLimitMakesLate(t *testing.T) {
+	start := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	in := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name    string
+		request upstream.AdmissionRequest
+		want    bool // whether it is rejected on arrival
+	}{
+		{"another worker may take it", upstream.AdmissionRequest{NoWait: true}, true},
+		{"it would miss its goal", upstream.AdmissionRequest{Goal: in(600), Deadline: in(5000)}, true},
+		{"it would miss its deadline", upstream.AdmissionRequest{Deadline: in(500)}, true},
+		{"it meets its goal", upstream.AdmissionRequest{Goal: in(2000), Deadline: in(5000)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g upstream.Gate
+				g.SetLimits(8, 64, start)
+				g.SetRateLimit(2, start) // one request each 500 ms
+				x, stop := context.WithCancel(context.Background())
+				done := make(chan result.Code, 2)
+				go func() { done <- g.Enter(x, start, c.request) }()
+				go func() { done <- g.EnterBody(x, start, c.request, 1<<20) }()
+				synctest.Wait()
+				stop()
+				got := []result.Code{<-done, <-done}
+				for _, r := range got {
+					if rejected := r == result.Overloaded; rejected != c.want && (c.want || r != result.CallerGone && r != 0) {
+						t.Errorf("got %s, want it to be rejected: %t", r, c.want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestWorkerFollowsItsNotice guards against a rate limit that outlasts its worker
+// or is dropped because of an answer that says nothing about it.
+func TestWorkerFollowsItsNotice(t *testing.T) {
+	cases := []struct {
+		name   string
+		second string // rate limit in the second answer
+		other  bool   // whether another start of the worker announces itself then
+		want   float64
+	}{
+		{"the same limit", "20", false, 20},
+		{"another limit", "5.5", false, 5.5},
+		{"no limit any more", "", false, 0},
+		{"a limit that cannot be read", "many", false, 20},
+		{"a negative limit", "-3", false, 20},
+		{"a limit that is not a number", "NaN", false, 20},
+		{"another start of the worker", "20", true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := &limitedWorker{header: http.Header{contract.RateLimitHeader: {"20"}}}
+			k := startLimited(t, l)
+			serveOne(k)
+			if r := k.Load(time.Now(), "k").RateLimit; r != 20 {
+				t.Fatalf("limit %v after the first answer, want 20", r)
+			}
+			l.mu.Lock()
+			l.header = http.Header{contract.RateLimitHeader: {c.second}}
+			l.mu.Unlock()
+			time.Sleep(60 * time.Millisecond) // until the limit admits one more request
+			serveOne(k)
+			if c.other {
+				k.Set(upstream.Announcement{ID: "w-2", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 8}, nil, time.Now())
+			}
+			if r := k.Load(time.Now(), "k").RateLimit; r != c.want {
+				t.Errorf("limit %v, want %v", r, c.want)
+			}
+		})
+	}
+}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -114,7 +114,7 @@
 	}
 	k.state.Store(n)
 	if o != nil && n.IsOtherStart(o.Announcement) {
-		k.notice.Store(nil)
+		k.forgetNotice(now)
 	}
 	k.gate.SetLimits(n.slots, n.queue, now)
 	if o != nil && o.transport != n.transport {
@@ -150,7 +150,7 @@
 
 // Load returns the worker's load report for other daemons, with the service time
 // of requests of the kind.
-func (k *Worker) Load(kind string) link.Load { return k.gate.Load(kind) }
+func (k *Worker) Load(now time.Time, kind string) link.Load { return k.gate.Load(now, kind) }
 
 // SilentFor returns the time since the worker last answered a request.
 func (k *Worker) SilentFor(now time.Time) time.Duration { return k.lastAnswer.Age(now) }
@@ -343,7 +343,7 @@
 func (k *Worker) recordResult(x context.Context, s *workerState, f *hop.Result, now time.Time) {
 	if f.Status > 0 || f.Code == result.WorkerRefused {
 		k.lastAnswer.Set(now)
-		k.recordNotice(s.Announcement, f.Notice)
+		k.recordNotice(s.Announcement, f.Notice, now)
 	}
 	if f.Outcome != contract.NotRun || x.Err() != nil {
 		if f.Code == result.DeadlineExceeded && f.Outcome == contract.NotRun {
