platform, upstream: read a worker's rate limit from its health check

Cause: what a daemon knows of a rate limit came from answers only, and is gone when it restarts while its worker goes on.

A daemon that starts already asks its worker for its health before it sends it requests. That response now carries the notice too, also if the worker rejects the check because it is full, and the limit starts with nothing saved up.

TestRateLimitOfHealthCheckHoldsForFirstRequests sends 8 requests to a worker that takes 2 a second: without the notice of the health check all 8 arrive at once, with it none does.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -21,9 +21,10 @@
 	// Workers returns the handler that the worker calls. The handler passes
 	// announcements to take, which returns an error for one that it rejects.
 	Workers func(take func(a upstream.Announcement, now time.Time) error, now func() time.Time) http.Handler
-	// AskWorker requests the health path of the worker at the address and returns
-	// the ID of its current start, empty if it is not ready. It may be nil.
-	AskWorker func(x context.Context, address, healthPath string) (id string, err error)
+	// AskWorker requests the health path of the worker at the address. It may
+	// return the notice of a worker with the error that it was rejected by it. It
+	// may be nil.
+	AskWorker func(x context.Context, address, healthPath string) (upstream.Health, error)
 	// ReadyPath is the HTTP path that reports whether the daemon takes calls.
 	ReadyPath string
 	// HoldBack delays answers until they are complete, see hop.Hop.
@@ -142,21 +143,28 @@
 	c.start(func(x context.Context) {
 		y, stop := context.WithTimeout(x, askWorkerTimeout)
 		defer stop()
-		id, err := f(y, a, s.HealthPath)
+		h, err := f(y, a, s.HealthPath)
 		if err != nil {
 			c.d.event(x, event.WorkerSilent, slog.String("Address", a), slog.String("Cause", err.Error()))
-			return
 		}
-		_ = c.d.do(x, func(c *control) {
-			if id == "" {
-				c.workerUnready = c.announcement.Service == ""
-				return
-			}
-			c.foundWorker(id, c.d.now())
-		})
+		_ = c.d.do(x, func(c *control) { c.applyHealth(h, err == nil, c.d.now()) })
 	})
 }
 
+// applyHealth applies the response h of the worker to a health check. If ran is
+// false, only its notice counts.
+func (c *control) applyHealth(h upstream.Health, ran bool, now time.Time) {
+	switch {
+	case ran && h.ID == "":
+		c.workerUnready = c.announcement.Service == ""
+	case ran:
+		c.foundWorker(h.ID, now)
+	}
+	if h.Notice != (contract.Notice{}) {
+		c.d.worker.RecordHealth(h, now)
+	}
+}
+
 // foundWorker treats the worker whose start has the ID as ready until it
 // announces itself. It does not add an entry to the history of announcements:
 // that is ordered by the time of the start and the sequence, which are not known.
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"figwheel/contract"
 	"figwheel/instance"
 	"figwheel/settings"
 	"figwheel/site"
@@ -30,20 +31,21 @@
 		name    string
 		id      string // in the worker's answer
 		err     error
+		notice  contract.Notice // in the worker's answer
 		then    []upstream.Announcement
 		want    instance.State
 		slots   uint32
 		finalID string // of the worker at the daemon, after the announcements
 	}{
-		{"it is ready", "w-2", nil, nil, instance.Ready, provisionalSlots, "w-2"},
-		{"it is not ready", "", nil, nil, instance.Starting, 0, ""},
-		{"a late announcement from before it was leaving", "", nil, []upstream.Announcement{ready}, instance.Starting, 0, ""},
-		{"it was leaving and announces that", "", nil, []upstream.Announcement{ready, draining}, instance.Draining, 7, "w-2"},
-		{"it was not ready for a short time", "", nil, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
-		{"it takes no connection and announces itself", "", errors.New("refused"), []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
-		{"it takes no connection", "", errors.New("refused"), nil, instance.Starting, 0, ""},
-		{"it announces itself later", "w-2", nil, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
-		{"a late announcement of an earlier start comes first", "w-2", nil, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
+		{"it is ready", "w-2", nil, contract.Notice{}, nil, instance.Ready, provisionalSlots, "w-2"},
+		{"it is not ready", "", nil, contract.Notice{}, nil, instance.Starting, 0, ""},
+		{"a late announcement from before it was leaving", "", nil, contract.Notice{}, []upstream.Announcement{ready}, instance.Starting, 0, ""},
+		{"it was leaving and announces that", "", nil, contract.Notice{}, []upstream.Announcement{ready, draining}, instance.Draining, 7, "w-2"},
+		{"it was not ready for a short time", "", nil, contract.Notice{}, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
+		{"it takes no connection and announces itself", "", errors.New("refused"), contract.Notice{}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
+		{"it takes no connection", "", errors.New("refused"), contract.Notice{}, nil, instance.Starting, 0, ""},
+		{"it announces itself later", "w-2", nil, contract.Notice{}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
+		{"a late announcement of an earlier start comes first", "w-2", nil, contract.Notice{}, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -53,9 +55,9 @@
 			e := ownEdge()
 			e.ConfigKey = "config/main"
 			e.DecodeConfig = decodeTable
-			e.AskWorker = func(_ context.Context, address, path string) (string, error) {
+			e.AskWorker = func(_ context.Context, address, path string) (upstream.Health, error) {
 				asked <- address + path
-				return c.id, c.err
+				return upstream.Health{ID: c.id, Notice: c.notice}, c.err
 			}
 			f.edge = &e
 			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
@@ -71,7 +73,9 @@
 				t.Errorf("asked %s", a)
 			}
 			f.wait("the answer is applied", func() bool {
-				return f.ask(0, func(c2 *control) bool { return c.err != nil || c2.workerUnready || c2.announcement.ID != "" })
+				return f.ask(0, func(c2 *control) bool {
+					return c.err != nil && c.notice == (contract.Notice{}) || c2.workerUnready || c2.announcement.ID != ""
+				})
 			})
 			for _, a := range c.then {
 				_ = f.daemons[0].takeAnnouncement(a, time.Now())
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -270,3 +270,26 @@
 		})
 	}
 }
+
+// TestRateLimitOfHealthCheckHoldsForFirstRequests guards against a burst to a worker after a restart of its daemon.
+func TestRateLimitOfHealthCheckHoldsForFirstRequests(t *testing.T) {
+	for _, id := range []string{"w-1", ""} { // without an id if the worker rejects the health check
+		l := &limitedWorker{header: http.Header{contract.RateLimitHeader: {"2"}}}
+		s := httptest.NewServer(l)
+		t.Cleanup(s.Close)
+		now := time.Now()
+		k := &upstream.Worker{Headers: contract.OwnHeaders()}
+		k.Set(upstream.Announcement{}, nil, now)
+		k.RecordHealth(upstream.Health{ID: id, Notice: contract.Notice{RateLimit: "2"}}, now)
+		k.Set(upstream.Announcement{}, nil, now)
+		k.Set(upstream.Announcement{ID: "w-1", Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), State: instance.Ready.String(), Slots: 8, Born: 5}, nil, now)
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() { serveOne(k) })
+		}
+		all.Wait()
+		if n := l.most(now, time.Second); n > 1 {
+			t.Errorf("id %q: %d requests at once, want at most 1", id, n)
+		}
+	}
+}
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -113,9 +113,7 @@
 		n.transport = hop.NewTransport(n.connections, dialTimeout, idleConnTimeout)
 	}
 	k.state.Store(n)
-	if o != nil && n.IsOtherStart(o.Announcement) {
-		k.forgetNotice(now)
-	}
+	k.forgetOtherNotice(a, now)
 	k.gate.SetLimits(n.slots, n.queue, now)
 	if o != nil && o.transport != n.transport {
 		o.transport.CloseIdleConnections()
