daemon: take a worker that states that it is leaving for draining

Cause: whether a worker is leaving was read from its announcements only. One that says so in its answers and goes on announcing that it is ready, or whose announcement is late, went on getting requests.

All requests to a worker pass the gate beside it. It stays so until another start of the worker announces itself; a worker without an id is taken for another start once it was lost or announced another state. After a restart, a daemon that learns from the health check that its worker is leaving waits for an announcement as it does for one that is not ready.

TestWorkerThatStatesThatItIsLeaving and three cases of TestWorkerFound fail without it.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -66,6 +66,7 @@
 	configVersion     string                  // version of the configuration object at the last read
 	noticedAt         time.Time               // of the last notice of the worker
 	noticedSent       int64                   // requests sent to the worker by then
+	leavingWorker     *upstream.Announcement  // last one of a worker that has stated in an answer that it is leaving; nil if none has
 	workerUnready     bool                    // the worker answered askWorker that it is not ready, and has not announced itself since
 	loggedFaults      map[string]bool         // texts of the configuration faults that were logged
 	platformReachable bool                    // whether the last call of the platform was answered
@@ -265,6 +266,9 @@
 	if o.State == instance.Ready.String() && a.IsOtherStart(o) {
 		c.workerCrashed(now, "started again") // the earlier start did not announce that it leaves
 	}
+	if a.State == instance.Ready.String() && c.hasLeavingWorker(a) {
+		a.State = instance.Draining.String()
+	}
 	c.announcement = a
 	c.announcedAt = now
 	if a.ID != o.ID || a.State != o.State || a.Service != o.Service || a.Address != o.Address || a.Slots != o.Slots {
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -111,6 +111,34 @@
 	}
 	c.noticedAt, c.noticedSent = now, sent
 	c.d.event(c.x, event.WorkerNoticed, a...)
+	if n.IsLeaving() {
+		c.workerLeaving(n.Worker, now)
+	}
+}
+
+// workerLeaving marks the worker that announced a as draining: it has stated in an
+// answer that it is leaving, which may come before its announcement or instead of
+// it.
+func (c *control) workerLeaving(a upstream.Announcement, now time.Time) {
+	o := c.announcement
+	switch {
+	case o.Service == "":
+		c.workerUnready = true // its next announcement may be from before it was leaving
+	case o.State == instance.Ready.String() && !a.IsOtherStart(o) && !o.IsOtherStart(a):
+		c.leavingWorker = &o
+		c.announcement.State = instance.Draining.String()
+		c.updateSelf(now)
+	}
+}
+
+// hasLeavingWorker reports whether the announcement a comes from a start of the
+// worker that has stated that it is leaving. A worker without an id cannot announce
+// another start: it is taken for one once it was lost or announced another state.
+func (c *control) hasLeavingWorker(a upstream.Announcement) bool {
+	if c.leavingWorker == nil || a.IsOtherStart(*c.leavingWorker) {
+		return false
+	}
+	return a.ID != "" || c.announcement.State == instance.Draining.String()
 }
 
 // workerUnreachable marks the worker as lost unless it has announced itself
@@ -157,7 +185,7 @@
 	switch {
 	case ran && h.ID == "":
 		c.workerUnready = c.announcement.Service == ""
-	case ran:
+	case ran && !h.Notice.IsLeaving():
 		c.foundWorker(h.ID, now)
 	}
 	if h.Notice != (contract.Notice{}) {
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -25,6 +25,7 @@
 	next.Sequence++
 	draining := next
 	draining.State = instance.Draining.String()
+	leaving := contract.Notice{Leaving: "1"}
 	older := ready
 	older.ID, older.Born = "w-1", 100
 	cases := []struct {
@@ -46,6 +47,9 @@
 		{"it takes no connection", "", errors.New("refused"), contract.Notice{}, nil, instance.Starting, 0, ""},
 		{"it announces itself later", "w-2", nil, contract.Notice{}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
 		{"a late announcement of an earlier start comes first", "w-2", nil, contract.Notice{}, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
+		{"it states that it is leaving", "w-2", nil, leaving, nil, instance.Starting, 0, ""},
+		{"it states that it is leaving, and a late announcement comes", "w-2", nil, leaving, []upstream.Announcement{ready}, instance.Starting, 0, ""},
+		{"it states that it is leaving when it rejects the check", "", errors.New("refused"), leaving, []upstream.Announcement{ready}, instance.Starting, 0, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -97,3 +101,71 @@
 		})
 	}
 }
+
+// TestWorkerThatStatesThatItIsLeaving guards against requests to a worker that says
+// in its answers that it is leaving, whatever its announcements say, and against
+// one that gets none after it has started again.
+func TestWorkerThatStatesThatItIsLeaving(t *testing.T) {
+	ready := upstream.Announcement{ID: "w-2", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
+	with := func(f func(a *upstream.Announcement)) upstream.Announcement {
+		a := ready
+		a.Sequence++
+		f(&a)
+		return a
+	}
+	next := with(func(*upstream.Announcement) {})
+	noID := with(func(a *upstream.Announcement) { a.ID, a.Born, a.Sequence = "", 0, 0 })
+	noIDStarting := noID
+	noIDStarting.State = instance.Starting.String()
+	cases := []struct {
+		name  string
+		first upstream.Announcement
+		then  []upstream.Announcement
+		want  instance.State
+	}{
+		{"no announcement", ready, nil, instance.Draining},
+		{"announces that it is ready", ready, []upstream.Announcement{next}, instance.Draining},
+		{"announces that it has left", ready, []upstream.Announcement{with(func(a *upstream.Announcement) { a.State = instance.Left.String() })}, instance.Starting},
+		{"another worker", ready, []upstream.Announcement{with(func(a *upstream.Announcement) { a.ID, a.Born, a.Sequence = "w-3", 300, 1 })}, instance.Ready},
+		{"the same id, started again", ready, []upstream.Announcement{with(func(a *upstream.Announcement) { a.Born, a.Sequence = 300, 1 })}, instance.Ready},
+		{"without an id", noID, []upstream.Announcement{noID}, instance.Draining},
+		{"without an id, started again", noID, []upstream.Announcement{noIDStarting, noID}, instance.Ready},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fleet{t: t, store: newStore()}
+			e := ownEdge()
+			e.ConfigKey = "config/main"
+			e.DecodeConfig = decodeTable
+			f.edge = &e
+			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s"}}}.Encode()
+			if err == nil {
+				_, err = f.store.Put(context.Background(), "config/main", "", b)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(f.close)
+			f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+			state := func(s instance.State) func() bool {
+				return func() bool {
+					return f.ask(0, func(c *control) bool { return c.table.Self().State == s })
+				}
+			}
+			_ = f.daemons[0].takeAnnouncement(c.first, time.Now())
+			f.wait("the worker is ready", state(instance.Ready))
+			f.daemons[0].worker.RecordHealth(upstream.Health{ID: c.first.ID, Notice: contract.Notice{Leaving: "1"}}, time.Now())
+			f.wait("the worker is draining", state(instance.Draining))
+			for _, a := range c.then {
+				_ = f.daemons[0].takeAnnouncement(a, time.Now())
+			}
+			f.ask(0, func(k *control) bool {
+				if s := k.table.Self().State; s != c.want {
+					t.Errorf("state %s, want %s", s, c.want)
+				}
+				return true
+			})
+		})
+	}
+}
