daemon: ask a worker for its rate limit also after its announcement

Cause: a daemon that restarts asked its worker for its health only if the worker had not announced itself before the configuration came. Announcements come each 1.5 s and a configuration takes about a second, so that many restarts skipped the request, and with it the rate limit.

The worker is asked once after each start. What it says of its readiness counts as before: an announcement goes first.

TestWorkerAskedForRateLimitAfterItsAnnouncement fails without the change (not within 30 s).

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -161,11 +161,12 @@
 
 // askWorker asks the worker beside this daemon whether it is ready, once after a
 // start of the daemon. A worker that was running before repeats its announcement
-// only periodically and would get no calls until then.
+// only periodically and would get no calls until then. A worker that has announced
+// itself already is asked too: announcements do not have its rate limit.
 func (c *control) askWorker() {
 	f, a, service := c.d.edge.AskWorker, c.settings.WorkerAddress, c.settings.Service
 	s, ok := c.serving.Service(service)
-	if f == nil || a == "" || !ok || s.HealthPath == "" || c.announcement.Service != "" {
+	if f == nil || a == "" || !ok || s.HealthPath == "" {
 		return
 	}
 	c.start(func(x context.Context) {
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -169,3 +169,31 @@
 		})
 	}
 }
+
+// TestWorkerAskedForRateLimitAfterItsAnnouncement guards against a daemon that gets its worker's announcement before its configuration and then sends more than the worker takes.
+func TestWorkerAskedForRateLimitAfterItsAnnouncement(t *testing.T) {
+	f := &fleet{t: t, store: newStore()}
+	e := ownEdge()
+	e.ConfigKey = "config/main"
+	e.DecodeConfig = decodeTable
+	e.AskWorker = func(context.Context, string, string) (upstream.Health, error) {
+		return upstream.Health{ID: "w-1", Notice: contract.Notice{RateLimit: "2"}}, nil
+	}
+	f.edge = &e
+	t.Cleanup(f.close)
+	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+	a := upstream.Announcement{ID: "w-1", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
+	if err := f.daemons[0].takeAnnouncement(a, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
+	if err == nil {
+		_, err = f.store.Put(context.Background(), "config/main", "", b)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.wait("the rate limit is known", func() bool {
+		return f.daemons[0].worker.Load(time.Now(), "k").RateLimit == 2
+	})
+}
