daemon: send a worker nothing after a start before it was asked

Until the health check came back, an announcement, also a late one, made the worker ready, and other daemons that had not noticed the restart sent it requests.

The notice is applied before the first request.

TestNoRequestsBeforeWorkerIsAsked: the instance was ready at once before, it is Starting now until the worker has answered.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -67,6 +67,7 @@
 	noticedAt         time.Time               // of the last notice of the worker
 	noticedSent       int64                   // requests sent to the worker by then
 	leavingWorker     *upstream.Announcement  // last one of a worker that has stated in an answer that it is leaving; nil if none has
+	workerAsked       bool                    // whether askWorker has ended or is not possible
 	workerUnready     bool                    // the worker answered askWorker that it is not ready, and has not announced itself since
 	loggedFaults      map[string]bool         // texts of the configuration faults that were logged
 	platformReachable bool                    // whether the last call of the platform was answered
@@ -123,6 +124,7 @@
 
 		suspectSendsLeft: make(map[poison.Fingerprint]int),
 		noticedAt:        n,
+		workerAsked:      d.edge.AskWorker == nil || s.WorkerAddress == "",
 	}
 }
 
@@ -279,17 +281,22 @@
 }
 
 // updateSelf updates this instance's record. The instance is ready only if its
-// worker is ready and the served configuration has the worker's service.
+// worker is ready, the served configuration has the worker's service, and the worker
+// was asked for what it states about itself: a daemon that restarts has lost what
+// the worker stated in earlier answers.
 func (c *control) updateSelf(now time.Time) {
 	r := c.table.Self()
 	a := c.announcement
+	if !c.workerAsked && a.State == instance.Ready.String() {
+		a.State = instance.Starting.String()
+	}
 	var s *site.Service
 	if c.serving != nil {
 		s, _ = c.serving.Service(a.Service)
 	}
 	c.d.worker.Set(a, s, now)
 	r.Service = a.Service
-	r.State = c.selfState(s)
+	r.State = c.selfState(a, s)
 	r.Slots = uint32(max(0, a.Slots))
 	if s != nil && s.Slots > 0 && (a.Slots == 0 || s.Slots < a.Slots) {
 		r.Slots = uint32(s.Slots)
@@ -299,15 +306,15 @@
 	}
 }
 
-// selfState returns the state of this instance. The service s is that of the
-// worker, nil if the served configuration does not have it.
-func (c *control) selfState(s *site.Service) instance.State {
+// selfState returns the state of this instance, whose worker announced a. The
+// service s is that of the worker, nil if the served configuration does not have it.
+func (c *control) selfState(a upstream.Announcement, s *site.Service) instance.State {
 	switch {
 	case c.hasLeft:
 		return instance.Left
-	case c.draining || c.announcement.State == instance.Draining.String():
+	case c.draining || a.State == instance.Draining.String():
 		return instance.Draining
-	case c.announcement.State != instance.Ready.String() || s == nil:
+	case a.State != instance.Ready.String() || s == nil:
 		return instance.Starting
 	}
 	return instance.Ready
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -164,9 +164,11 @@
 // only periodically and would get no calls until then. A worker that has announced
 // itself already is asked too: announcements do not have its rate limit.
 func (c *control) askWorker() {
-	f, a, service := c.d.edge.AskWorker, c.settings.WorkerAddress, c.settings.Service
-	s, ok := c.serving.Service(service)
-	if f == nil || a == "" || !ok || s.HealthPath == "" {
+	f, a := c.d.edge.AskWorker, c.settings.WorkerAddress
+	s, ok := c.serving.Service(c.settings.Service)
+	if c.workerAsked || !ok || s.HealthPath == "" {
+		c.workerAsked = true
+		c.updateSelf(c.d.now())
 		return
 	}
 	c.start(func(x context.Context) {
@@ -183,15 +185,17 @@
 // applyHealth applies the response h of the worker to a health check. If ran is
 // false, only its notice counts.
 func (c *control) applyHealth(h upstream.Health, ran bool, now time.Time) {
+	if h.Notice != (contract.Notice{}) {
+		c.d.worker.RecordHealth(h, now) // before the worker gets its first request
+	}
+	c.workerAsked = true
 	switch {
 	case ran && h.ID == "":
 		c.workerUnready = c.announcement.Service == ""
 	case ran && !h.Notice.IsLeaving():
 		c.foundWorker(h.ID, now)
 	}
-	if h.Notice != (contract.Notice{}) {
-		c.d.worker.RecordHealth(h, now)
-	}
+	c.updateSelf(now)
 }
 
 // foundWorker treats the worker whose start has the ID as ready until it
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"figwheel/contract"
+	"figwheel/hop"
 	"figwheel/instance"
+	"figwheel/result"
 	"figwheel/settings"
 	"figwheel/site"
 	"figwheel/upstream"
@@ -197,3 +201,48 @@
 		return f.daemons[0].worker.Load(time.Now(), "k").RateLimit == 2
 	})
 }
+
+// TestNoRequestsBeforeWorkerIsAsked guards against requests that reach a worker after a restart of its daemon, before the daemon knows whether the worker is leaving or limits its rate.
+func TestNoRequestsBeforeWorkerIsAsked(t *testing.T) {
+	f := &fleet{t: t, store: newStore()}
+	e := ownEdge()
+	e.ConfigKey = "config/main"
+	e.DecodeConfig = decodeTable
+	answer := make(chan struct{})
+	e.AskWorker = func(context.Context, string, string) (upstream.Health, error) {
+		<-answer
+		return upstream.Health{}, errors.New("refused")
+	}
+	f.edge = &e
+	b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
+	if err == nil {
+		_, err = f.store.Put(context.Background(), "config/main", "", b)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.close)
+	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+	f.wait("the configuration is in force", func() bool {
+		return f.ask(0, func(c *control) bool { return c.serving != nil })
+	})
+	a := upstream.Announcement{ID: "w-1", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
+	if err := f.daemons[0].takeAnnouncement(a, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	state := func() (s instance.State) {
+		f.ask(0, func(c *control) bool { s = c.table.Self().State; return true })
+		return s
+	}
+	if s := state(); s != instance.Starting {
+		t.Errorf("%s before the worker has answered, want Starting", s)
+	}
+	r := httptest.NewRequest(http.MethodGet, "http://s.example/", http.NoBody)
+	w := httptest.NewRecorder()
+	q := upstream.Request{Service: "s", Body: hop.NewBody(w, r), Now: time.Now}
+	if c := f.daemons[0].worker.Serve(context.Background(), w, r, time.Now(), q).Code; c != result.Leaving {
+		t.Errorf("a request ended with %s before the worker has answered, want %s", c, result.Leaving)
+	}
+	close(answer)
+	f.wait("the instance is ready", func() bool { return state() == instance.Ready })
+}
