soak: workers that limit their rate, and workers that leave without a word

The soak had no worker that states anything in its answers, which is one reason why neither rule was missed. Two new kinds: a worker states a limit of 3 requests a second for 9 s and more, and a worker states that it is leaving, sends no more announcements and is started again later. The stand-in records arrivals and checks both bounds itself, through restarts of the daemons.

--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,8 @@
 	InForce          Guarantee = "an accepted version is in force within two seconds"
 	PlannedWork      Guarantee = "planned work interrupts no request that a worker has started"
 	NoUnexpectedExit Guarantee = "no daemon process exits on its own"
+	RateLimitHolds   Guarantee = "a worker gets no more requests than the rate limit that it states allows"
+	LeavingHolds     Guarantee = "a worker that states that it is leaving gets no requests after two seconds"
 	Recovery         Guarantee = "all requests are served again after the faults have ended"
 )
 
@@ -174,6 +176,17 @@
 	}
 }
 
+// checkNotices checks whether the daemons followed what the worker of n stated.
+func (c *Checker) checkNotices(n *node) {
+	limit, leaving := n.worker.Exceeded()
+	if limit != "" {
+		c.recordViolation(RateLimitHolds, "%s: %s", n.name, limit)
+	}
+	if leaving != "" {
+		c.recordViolation(LeavingHolds, "%s: %s", n.name, leaving)
+	}
+}
+
 // checkRuns checks, after the last request has ended, how often workers ran
 // each request.
 func (c *Checker) checkRuns() {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -9,7 +9,7 @@
 // Kind is a kind of fault or of planned work.
 type Kind string
 
-// The kinds. Term, Hup and Config are planned work, the others are faults. A
+// The kinds. Term, Hup and Config are planned work, the others but WorkerLimit are faults. A
 // daemon whose process has ended is started again.
 const (
 	Kill           Kind = "kill"             // SIGKILL to one daemon
@@ -24,6 +24,8 @@
 	LinkSilentFrom Kind = "link-silent-from" // only those from the store
 	LinkReset      Kind = "link-reset"       // connections between one daemon and the store are reset
 	WorkerCrash    Kind = "worker-crash"     // the worker beside one daemon crashes and is started again
+	WorkerLimit    Kind = "worker-limit"     // the worker beside one daemon states a rate limit
+	WorkerLeave    Kind = "worker-leave"     // that worker states that it is leaving, and is started again after a while
 	Term           Kind = "term"             // SIGTERM to one daemon
 	Hup            Kind = "hup"              // SIGHUP to one daemon
 	Config         Kind = "config"           // operators write the next version of the configuration
@@ -46,14 +48,16 @@
 	{LinkSilentFrom, 1},
 	{LinkReset, 2},
 	{WorkerCrash, 3},
+	{WorkerLimit, 2},
+	{WorkerLeave, 2},
 	{Term, 4},
 	{Hup, 2},
 	{Config, 6},
 }
 
-// IsPlanned reports whether the kind is planned work, which must not interrupt
-// any request.
-func (k Kind) IsPlanned() bool { return k == Term || k == Hup || k == Config }
+// IsPlanned reports whether the kind is planned work or a rate limit, which must not
+// interrupt any request.
+func (k Kind) IsPlanned() bool { return k == Term || k == Hup || k == Config || k == WorkerLimit }
 
 // Step is one fault or one piece of planned work in a plan.
 type Step struct {
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,9 @@
 	callTimeout      = 2 * time.Second  // sent as the deadline of a request; the caller waits twice as long
 	readyTimeout     = 15 * time.Second // from the start until all daemons serve
 	recoverTimeout   = 15 * time.Second // from the last fault until all daemons serve again
+	statedLimit      = 3.0              // rate limit of a worker, in requests per second
+	limitExtraTime   = 9 * time.Second  // by which a rate limit outlasts its step: it is checked over 4 s, from 3 s on
+	leaveExtraTime   = 3 * time.Second  // by which a leaving worker outlasts its step
 	drainTime        = 2 * time.Second  // in which requests in flight may still run before the runs are checked
 )
 
@@ -59,6 +62,9 @@
 	}
 	wait(x, drainTime)
 	e.checker.checkRuns()
+	for _, n := range e.nodes {
+		e.checker.checkNotices(n)
+	}
 	stop()
 	e.tasks.Wait()
 	return e.writeReport(o, plan), nil
@@ -126,6 +132,16 @@
 		if f := n.crashWorker.Load(); f != nil {
 			(*f)()
 		}
+	case WorkerLimit:
+		n.worker.SetRateLimit(statedLimit)
+		wait(x, s.For+limitExtraTime)
+		n.worker.SetRateLimit(0)
+	case WorkerLeave:
+		n.worker.Leave()
+		wait(x, s.For+leaveExtraTime)
+		if f := n.crashWorker.Load(); f != nil {
+			(*f)()
+		}
 	case Term:
 		n.signal(syscall.SIGTERM)
 	case Hup:
