--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,6 +128,7 @@
 		InFlight:     func() int64 { return int64(d.worker.InFlight()) },
 		PlatformCall: d.store.calls.Load,
 		Sent:         d.worker.Sent,
+		RateLimit:    d.worker.RateLimit,
 	})
 	if err != nil {
 		return nil, err
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -29,6 +29,8 @@
 	InFlight     func() int64 // requests at the worker or waiting for it
 	PlatformCall func() int64 // calls to the platform since the start
 	Sent         func() int64 // requests sent to the worker since the start
+
+	RateLimit func() float64 // requests per second that the worker takes, 0 if it states no limit
 }
 
 // Set holds the instruments of one daemon.
@@ -79,6 +81,12 @@
 	e.Add(counter(m, "figwheel.control.sent", "By", g.ControlOut))
 	e.Add(counter(m, "figwheel.platform.calls", "", g.PlatformCall))
 	e.Add(counter(m, "figwheel.worker.sent", "", g.Sent))
+	_, err = m.Float64ObservableGauge("figwheel.worker.rate_limit", otel.WithDescription("requests per second that the worker takes, 0 without a limit"),
+		otel.WithFloat64Callback(func(_ context.Context, o otel.Float64Observer) error {
+			o.Observe(g.RateLimit())
+			return nil
+		}))
+	e.Add(err)
 	return e.Err()
 }
 
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -111,6 +111,13 @@
 	g.limitChanged(now)
 }
 
+// RateLimit returns the limit that SetRateLimit has set, 0 if there is none.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limit.perSecond()
+}
+
 // limitChanged admits the requests that the new rate limit allows.
 func (g *Gate) limitChanged(now time.Time) {
 	if g.wake != nil {
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -150,6 +150,10 @@
 // of requests of the kind.
 func (k *Worker) Load(now time.Time, kind string) link.Load { return k.gate.Load(now, kind) }
 
+// RateLimit returns the number of requests per second that the worker takes, 0 if it
+// states no limit.
+func (k *Worker) RateLimit() float64 { return k.gate.RateLimit() }
+
 // SilentFor returns the time since the worker last answered a request.
 func (k *Worker) SilentFor(now time.Time) time.Duration { return k.lastAnswer.Age(now) }
 
@@ -186,7 +190,7 @@
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	if c := k.gate.Enter(x, now, q.AdmissionRequest); c != 0 {
-		return hop.NotRun(c, "no slot of the worker became free")
+		return hop.NotRun(c, "no slot of the worker became free, or its rate limit admitted no more")
 	}
 	began := q.Now()
 	e := Abandoned
