upstream: bound the rate limits that are applied

A limit such as 1e300 made the size of the token bucket overflow (by reading; the conversion gave a bucket of one request, which still passed). Limits above a million requests a second now count as that. The comment of link.Candidate.cost is rewrapped.

--- a/link/choose.go
+++ b/link/choose.go
@@ -68,12 +68,13 @@
 }
 
 // cost returns the expected time of a request of the kind at the instance: the
-// wait for a slot, estimated from the service time of all kinds, or for its rate
-// limit, whichever is longer, and the service time of this kind. It adds a share of the latter for occupied slots, far for an
-// instance at another site, and ejectedCost for one that is ejected or
-// unresponsive. The less is known of the service time of this kind, the more mean
-// replaces it. With the service time of all kinds in its place, an instance that
-// runs mostly short requests would look fast for long ones.
+// wait for a slot, estimated from the service time of all kinds, or for the rate
+// limit, whichever is longer, and the service time of this kind. It adds a share of
+// the latter for occupied slots, far for an instance at another site, and
+// ejectedCost for one that is ejected or unresponsive. The less is known of the
+// service time of this kind, the more mean replaces it. With the service time of
+// all kinds in its place, an instance that runs mostly short requests would look
+// fast for long ones.
 func (c *Candidate) cost(now instant, kind string, mean, far time.Duration) time.Duration {
 	h := weightedMean(mean)(c.Peer.kindServiceTime(kind, now))
 	slots := float64(max(1, c.Slots))
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -123,6 +123,7 @@
 		{"a higher limit", []step{{-time.Second, 1}, {0, 50}}, 190, 225, 4 * time.Second},
 		{"a fraction", []step{{0, 0.75}}, 2, 3, 4 * time.Second},
 		{"none at all, which only an answer can end", []step{{0, 0}}, 1, 5, 4 * time.Second},
+		{"more than a worker can serve", []step{{0, 1e300}}, 380, 1 << 20, 4 * time.Second},
 		{"no limit any more", []step{{-time.Second, 1}, {0, -1}}, 380, 1 << 20, 4 * time.Second},
 	}
 	for _, c := range cases {
--- a/upstream/ratelimit.go
+++ b/upstream/ratelimit.go
@@ -15,6 +15,8 @@
 	// Only an answer shows that the worker has raised its limit, so that a worker
 	// that takes none must still get a request now and then.
 	rateMin = 0.5
+	// rateMax is the highest rate limit that is applied, in requests per second.
+	rateMax = 1e6
 )
 
 // rateLimit admits as many requests as a worker takes. The zero value admits all.
@@ -27,7 +29,7 @@
 // starts with nothing saved up: the worker may have got requests until now.
 func (l *rateLimit) set(perSecond float64, now time.Time) {
 	now = l.advance(now)
-	p := max(rateMin, perSecond)
+	p := min(max(rateMin, perSecond), rateMax)
 	burst := max(1, int(p*rateBurstTime.Seconds()))
 	if l.limiter == nil {
 		l.limiter = rate.NewLimiter(rate.Limit(p), burst)
