--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -294,3 +295,50 @@
 		}
 	}
 }
+
+// TestCallersUnderRateLimit plays three times the load that a worker takes. It guards against a limit that is not used whole, callers who wait and miss their goal, and callers who are rejected late.
+func TestCallersUnderRateLimit(t *testing.T) {
+	const (
+		limit, length = 10.0, 20 * time.Second
+		goal, work    = 500 * time.Millisecond, 160 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var g upstream.Gate
+		g.SetLimits(6, 48, time.Now())
+		g.SetRateLimit(limit, time.Now())
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		var served, late, rejectedLate int
+		r := rand.New(rand.NewPCG(1, 1))
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			all.Go(func() {
+				began := time.Now()
+				c := g.Enter(context.Background(), began, upstream.AdmissionRequest{Kind: "k", Goal: began.Add(goal), Deadline: began.Add(4 * goal)})
+				waited := time.Since(began)
+				if c == 0 {
+					time.Sleep(work)
+					g.Leave(time.Now(), "k", work, upstream.Answered)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case c != 0 && waited > goal/8:
+					rejectedLate++
+				case c == 0 && time.Since(began) > goal:
+					late++
+					served++
+				case c == 0:
+					served++
+				}
+			})
+			time.Sleep(time.Duration(r.ExpFloat64() / (3 * limit) * float64(time.Second)))
+		}
+		all.Wait()
+		if n := limit * length.Seconds(); float64(served) < 0.95*n || float64(served) > 1.05*n {
+			t.Errorf("%d served, want about %.0f", served, n)
+		}
+		if late > served/50 || rejectedLate > served/50 {
+			t.Errorf("%d of %d late, %d rejected late, want at most %d each", late, served, rejectedLate, served/50)
+		}
+	})
+}
