--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -182,3 +182,34 @@
 		})
 	}
 }
+
+// TestDrainCutsOffNoLateCaller guards against a daemon that takes new callers until its worker's last request has ended, and cuts them off at its drain limit.
+func TestDrainCutsOffNoLateCaller(t *testing.T) {
+	t.Parallel()
+	const work, later = 1200 * time.Millisecond, 900 * time.Millisecond // the drain limit is 2 s
+	d := newDrainFleet(t, func(k *upstreamtest.Worker) { k.Work = work })
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	results := make(chan string, 64)
+	calls := 0
+	send := func(i int) {
+		calls++
+		go func() { results <- post(c, d.daemons[i].Settings().CallAddress) }()
+	}
+	for d.workers[2].Total() == 0 {
+		send(calls % 2)
+		time.Sleep(50 * time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.stop(2)
+	}()
+	time.Sleep(later)
+	send(2)
+	for range calls {
+		if s := <-results; s != "" && s != dialFailed && !strings.HasPrefix(s, "503 ") { // 503 says that it was not run
+			t.Errorf("a call failed: %s", s)
+		}
+	}
+	<-stopped
+}
