--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -19,6 +19,40 @@
 	"figwheel/upstream"
 )
 
+// workerFleet is a fleet of one daemon with a managed configuration, beside a worker
+// that is only announced.
+type workerFleet struct{ *fleet }
+
+// newWorkerFleet returns a fleet whose daemon asks its worker by ask, which may be
+// nil.
+func newWorkerFleet(t *testing.T, ask func(x context.Context, address, path string) (upstream.Health, error)) workerFleet {
+	e := ownEdge()
+	e.ConfigKey = "config/main"
+	e.DecodeConfig = decodeTable
+	e.AskWorker = ask
+	f := workerFleet{&fleet{t: t, store: newStore(), edge: &e}}
+	t.Cleanup(f.close)
+	return f
+}
+
+// putService writes a configuration with the worker's service.
+func (f workerFleet) putService() {
+	f.t.Helper()
+	b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
+	if err == nil {
+		_, err = f.store.Put(context.Background(), "config/main", "", b)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// addDaemon starts the daemon.
+func (f workerFleet) addDaemon() {
+	f.t.Helper()
+	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+}
+
 // TestWorkerFound guards against a worker that gets no calls, or gets calls while
 // it is leaving, after a restart of its daemon. The worker was running before and
 // has not announced itself to the new process yet; the daemon requests its health
@@ -59,24 +93,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			asked := make(chan string, 1)
-			f := &fleet{t: t, store: newStore()}
-			e := ownEdge()
-			e.ConfigKey = "config/main"
-			e.DecodeConfig = decodeTable
-			e.AskWorker = func(_ context.Context, address, path string) (upstream.Health, error) {
+			f := newWorkerFleet(t, func(_ context.Context, address, path string) (upstream.Health, error) {
 				asked <- address + path
 				return upstream.Health{ID: c.id, Notice: c.notice}, c.err
-			}
-			f.edge = &e
-			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
-			if err == nil {
-				_, err = f.store.Put(context.Background(), "config/main", "", b)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(f.close)
-			f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+			})
+			f.putService()
+			f.addDaemon()
 			if a := <-asked; a != "127.0.0.1:1/health" {
 				t.Errorf("asked %s", a)
 			}
@@ -138,20 +160,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := &fleet{t: t, store: newStore()}
-			e := ownEdge()
-			e.ConfigKey = "config/main"
-			e.DecodeConfig = decodeTable
-			f.edge = &e
-			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s"}}}.Encode()
-			if err == nil {
-				_, err = f.store.Put(context.Background(), "config/main", "", b)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(f.close)
-			f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+			f := newWorkerFleet(t, nil)
+			f.putService()
+			f.addDaemon()
 			state := func(s instance.State) func() bool {
 				return func() bool {
 					return f.ask(0, func(c *control) bool { return c.table.Self().State == s })
@@ -176,27 +187,15 @@
 
 // TestWorkerAskedForRateLimitAfterItsAnnouncement guards against a daemon that gets its worker's announcement before its configuration and then sends more than the worker takes.
 func TestWorkerAskedForRateLimitAfterItsAnnouncement(t *testing.T) {
-	f := &fleet{t: t, store: newStore()}
-	e := ownEdge()
-	e.ConfigKey = "config/main"
-	e.DecodeConfig = decodeTable
-	e.AskWorker = func(context.Context, string, string) (upstream.Health, error) {
+	f := newWorkerFleet(t, func(context.Context, string, string) (upstream.Health, error) {
 		return upstream.Health{ID: "w-1", Notice: contract.Notice{RateLimit: "2"}}, nil
-	}
-	f.edge = &e
-	t.Cleanup(f.close)
-	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+	})
+	f.addDaemon()
 	a := upstream.Announcement{ID: "w-1", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
 	if err := f.daemons[0].takeAnnouncement(a, time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
-	if err == nil {
-		_, err = f.store.Put(context.Background(), "config/main", "", b)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	f.putService()
 	f.wait("the rate limit is known", func() bool {
 		return f.daemons[0].worker.Load(time.Now(), "k").RateLimit == 2
 	})
@@ -204,25 +203,13 @@
 
 // TestNoRequestsBeforeWorkerIsAsked guards against requests that reach a worker after a restart of its daemon, before the daemon knows whether the worker is leaving or limits its rate.
 func TestNoRequestsBeforeWorkerIsAsked(t *testing.T) {
-	f := &fleet{t: t, store: newStore()}
-	e := ownEdge()
-	e.ConfigKey = "config/main"
-	e.DecodeConfig = decodeTable
 	answer := make(chan struct{})
-	e.AskWorker = func(context.Context, string, string) (upstream.Health, error) {
+	f := newWorkerFleet(t, func(context.Context, string, string) (upstream.Health, error) {
 		<-answer
 		return upstream.Health{}, errors.New("refused")
-	}
-	f.edge = &e
-	b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}}}.Encode()
-	if err == nil {
-		_, err = f.store.Put(context.Background(), "config/main", "", b)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.close)
-	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
+	})
+	f.putService()
+	f.addDaemon()
 	f.wait("the configuration is in force", func() bool {
 		return f.ask(0, func(c *control) bool { return c.serving != nil })
 	})
