soak: end at a signal instead of running the other seeds into it

A signal ended the context of all seeds to come: each of them reported that no daemon served, within a second.

--- a/cmd/figwheel-soak/main.go
+++ b/cmd/figwheel-soak/main.go
@@ -33,6 +33,10 @@
 		o := soak.Options{Binary: *binary, Seed: *seed + uint64(i), Daemons: *daemons, Length: *length, PortBase: *ports, Out: os.Stdout}
 		o.Dir = filepath.Join(*dir, strconv.FormatUint(o.Seed, 10))
 		ok, err := runSeed(x, o)
+		if x.Err() != nil {
+			_, _ = fmt.Fprintf(os.Stderr, "interrupted: seed %d was not run to its end\n", o.Seed)
+			os.Exit(2)
+		}
 		if err != nil {
 			_, _ = fmt.Fprintln(os.Stderr, err)
 			os.Exit(2)
--- a/soak/check.go
+++ b/soak/check.go
@@ -178,7 +178,7 @@
 
 // checkNotices checks whether the daemons followed what the worker of n stated.
 func (c *Checker) checkNotices(n *node) {
-	limit, leaving := n.worker.Exceeded()
+	limit, leaving := n.worker.Violations()
 	if limit != "" {
 		c.recordViolation(RateLimitHolds, "%s: %s", n.name, limit)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -9,8 +9,8 @@
 // Kind is a kind of fault or of planned work.
 type Kind string
 
-// The kinds. Term, Hup and Config are planned work, the others but WorkerLimit are faults. A
-// daemon whose process has ended is started again.
+// The kinds. Term, Hup and Config are planned work and WorkerLimit interrupts no
+// request; the others are faults. A daemon whose process has ended is started again.
 const (
 	Kill           Kind = "kill"             // SIGKILL to one daemon
 	Herd           Kind = "herd"             // SIGKILL to all daemons at once
