caller: ignore a lookahead's timeout once its deadline is gone

What callers saw: on a kept connection, in calm and whether a daemon was stopping or not, a request got "connection reset by peer", or "503 FW3010 CallerGone, not-run, context canceled" although its caller was there and waited. TestDrain showed both.

drain_test.go:179: a call failed: 503 Service Unavailable {"Code": "FW3010","Name":"CallerGone","Outcome":"not-run","Text":"context canceled"} drain_test.go:179: a call failed: Post "http://127.0.0.1:25139/": read tcp 127.0.0.1:41134->127.0.0.1:25139: read: connection reset by peer

Cause: a caller may send its next request before net/http aborts the read by which it watches for a disconnect. That read gets the first byte, and Connection starts its lookahead. net/http then sets a read deadline in the past and removes it when the byte is in. The lookahead's own read may time out in between, and its goroutine get the mutex only later, when another Read waits for the lookahead. It took the timeout for that Read's. If that Read waits for the rest of the request, net/http closes the connection with unread bytes, and the kernel sends a reset. If it is the watch during the next request, net/http takes the caller for gone and cancels the request, which may be at a worker by then.

Connection now knows the read deadline in force, and the lookahead reports a timeout only if that deadline has passed. Otherwise it reads on, under the deadline that is in force. The abort of net/http still works: it keeps its deadline until its read has ended.

Conclusion: any request on a kept connection could be hit, at any time, most likely under load and right after a fast answer.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 )
 
 // lookaheadBytesMax limits the bytes of pipelined requests that are read before
@@ -25,6 +26,7 @@
 
 	mu            sync.Mutex
 	changed       sync.Cond
+	readDeadline  time.Time     // zero for none
 	lookahead     []byte        // bytes that were read ahead and not returned by Read yet
 	lookaheadErr  error         // error that ended the lookahead, not returned by Read yet
 	waitingReads  int           // calls of Read that wait for the lookahead
@@ -111,11 +113,15 @@
 		n, err := c.Conn.Read(b[:room])
 		c.mu.Lock()
 		c.lookahead = append(c.lookahead, b[:n]...)
+		// The deadline may have been replaced since the read timed out.
+		timeout := errors.Is(err, os.ErrDeadlineExceeded)
+		if timeout && !c.deadlinePassed(time.Now()) {
+			err = nil
+		}
 		if err != nil {
 			c.lookaheadDone = nil
 			// A read deadline applies only to a Read that is waiting for
 			// bytes: a later Read has its own deadline.
-			timeout := errors.Is(err, os.ErrDeadlineExceeded)
 			if !timeout || c.waitingReads > 0 && len(c.lookahead) == 0 {
 				c.lookaheadErr = err
 			}
@@ -131,6 +137,24 @@
 	}
 }
 
+// deadlinePassed reports whether the read deadline has passed at the time now.
+func (c *Connection) deadlinePassed(now time.Time) bool {
+	return !c.readDeadline.IsZero() && !now.Before(c.readDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Connection) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // CloseWrite closes the writing side of the connection. net/http calls it before
 // it closes a connection on which the caller may still be sending.
 func (c *Connection) CloseWrite() error {
