caller, upstream: log at which stage a request ended

The logs did not say where a request was at that moment: FE502 had the time since the request was read, but not whether it waited for its body, for a slot, at the worker or at another daemon. The daemon beside the worker logged nothing at all about a request that the other daemon gave up, so that a late notice there could not be told from a late notice at the caller's daemon.

FE502 now has Stage (Body, Queue, Worker or Link) and InStage, the time at that stage. FE504 (Abandoned) is new: the daemon beside the worker logs each forwarded request that was given up, with the same fields and Took, the time since it was read there. FE503 stays reserved for another event of this incident.

Decisions and answers are unchanged.

--- a/caller/decision.go
+++ b/caller/decision.go
@@ -25,7 +25,9 @@
 	Outcome   contract.Outcome
 	Status    int // HTTP status of the worker's answer, 0 without an answer
 	Text      string
-	Took      time.Duration
+	Stage     hop.Stage     // at which the request ended, see hop.Result
+	InStage   time.Duration // for which it was at that stage
+	Took      time.Duration // since the request was read
 	Limit     string        // value of the caller's deadline header, in milliseconds
 	Left      time.Duration // time from the end of the request to its deadline, negative after it
 }
@@ -46,6 +48,8 @@
 		Outcome:   f.Outcome,
 		Status:    f.Status,
 		Text:      f.Text,
+		Stage:     f.Stage,
+		InStage:   f.InStage,
 		Took:      now.Sub(began),
 	}
 	if c.route != nil {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -185,7 +185,7 @@
 	defer stop()
 	c.body = hop.NewBody(w, r)
 	if err := c.body.Load(x); err != nil {
-		return hop.NotRun(result.CallerGone, err.Error())
+		return hop.NotRun(result.CallerGone, err.Error()).At(hop.StageBody, h.Now().Sub(now))
 	}
 	if h.rejectSuspect(c, r, now) {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
@@ -326,6 +326,7 @@
 	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now)}
 	f := p.Do(x, w, r, c.body)
 	now = h.Now()
+	f = f.At(hop.StageLink, now.Sub(sent))
 	k.Peer.End(f.Load, c.admission.Kind, now)
 	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
 		k.Peer.Eject(now.Add(ejectTime))
--- a/caller/link.go
+++ b/caller/link.go
@@ -29,6 +29,21 @@
 	Worker  *upstream.Worker
 	Now     func() time.Time
 	Headers contract.Headers // names of the headers that workers use
+	// Abandoned is called when the daemon that sent a request has given it up; may
+	// be nil.
+	Abandoned func(a Abandoned)
+}
+
+// Abandoned describes a forwarded request that was given up by the daemon that
+// sent it.
+type Abandoned struct {
+	RequestID string
+	Service   string
+	Outcome   contract.Outcome
+	Stage     hop.Stage     // at which the request was, see hop.Result
+	InStage   time.Duration // for which it was at that stage
+	Took      time.Duration // since the request was read
+	Limit     string        // value of the deadline header, in milliseconds
 }
 
 // ServeHTTP implements http.Handler. If the answer is begun and cannot be
@@ -48,7 +63,9 @@
 	}
 	w.Header()["Date"] = nil // not used between daemons
 	b := hop.NewBody(w, r)
-	f := h.serve(w, r, b)
+	t := h.Now()
+	f := h.serve(w, r, b, t)
+	h.recordAbandoned(r, f, t)
 	switch {
 	case f.Begun:
 		finish(w, f, 0)
@@ -67,9 +84,26 @@
 	a.Set(contract.LoadHeader, h.Worker.Load(h.Now(), r.Header.Get(contract.KindHeader)).String())
 }
 
-// serve passes the request to the worker within the deadline of its headers.
-func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request, b *hop.Body) hop.Result {
-	now := h.Now()
+// recordAbandoned reports a request that was read at the time t and has the result
+// f, if it was given up.
+func (h *LinkHandler) recordAbandoned(r *http.Request, f hop.Result, t time.Time) {
+	if f.Code != result.CallerGone || h.Abandoned == nil {
+		return
+	}
+	h.Abandoned(Abandoned{
+		RequestID: r.Header.Get(h.Headers.RequestID),
+		Service:   r.Header.Get(contract.ServiceHeader),
+		Outcome:   f.Outcome,
+		Stage:     f.Stage,
+		InStage:   f.InStage,
+		Took:      h.Now().Sub(t),
+		Limit:     r.Header.Get(contract.DeadlineHeader),
+	})
+}
+
+// serve passes the request, which was read at now, to the worker within the deadline
+// of its headers.
+func (h *LinkHandler) serve(w http.ResponseWriter, r *http.Request, b *hop.Body, now time.Time) hop.Result {
 	t := r.Header.Get(contract.DeadlineHeader)
 	d, err := contract.Deadline(now, deadlineDefault, t)
 	if err != nil {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -176,7 +176,7 @@
 	e := d.edge.Headers
 	s.work = []*server{
 		s.startCallListener(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}),
-		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e}),
+		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}),
 	}
 	p := http.NewServeMux()
 	p.Handle(peer.NewHandler(d))
@@ -231,6 +231,8 @@
 		slog.String("Outcome", v.Outcome.String()),
 		slog.Int("Status", v.Status),
 		slog.String("Text", v.Text),
+		slog.String("Stage", string(v.Stage)),
+		slog.Duration("InStage", v.InStage),
 		slog.Duration("Took", v.Took),
 		slog.String("LimitMs", v.Limit),
 		slog.Duration("Left", v.Left),
--- a/event/event.go
+++ b/event/event.go
@@ -70,6 +70,8 @@
 const (
 	Answered ID = 501 + iota
 	Failed
+	_ // 503 is reserved
+	Abandoned
 )
 
 // Entry is one row of the catalogue of events.
@@ -124,7 +126,8 @@
 	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; the daemon keeps serving the configuration in force."},
 	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route or service of the platform's configuration is invalid; the others are served."},
 	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
-	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason."},
+	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
+	{Abandoned, "Abandoned", slog.LevelInfo, "The daemon that forwarded a request to this one gave it up; Stage, InStage and Took are as in FE502. Bounded by the limit of log lines about calls."},
 }
 
 // Catalogue returns every event in ascending order.
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"figwheel/contract"
 	"figwheel/result"
@@ -53,6 +54,8 @@
 	Load    string          // load header of a daemon's response
 	Notice  contract.Notice // what the worker stated in its answer; empty if a daemon answered
 	Age     string          // age header of a daemon's response: age of the newest confirmation of its release, in milliseconds
+	Stage   Stage           // at which the request ended; empty before the first
+	InStage time.Duration   // for which the request was at that stage
 }
 
 // OK reports whether the response was forwarded completely.
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -182,7 +182,7 @@
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
 	if c := k.readBody(x, &q, now); c != 0 {
-		return hop.NotRun(c, "its body was not taken")
+		return hop.NotRun(c, "its body was not taken").At(hop.StageBody, q.Now().Sub(now))
 	}
 	now = q.Now()
 	level, refused := k.crashLevel(r, q, now)
@@ -190,7 +190,7 @@
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	if c := k.gate.Enter(x, now, q.AdmissionRequest); c != 0 {
-		return hop.NotRun(c, "no slot of the worker became free, or its rate limit admitted no more")
+		return hop.NotRun(c, "no slot of the worker became free, or its rate limit admitted no more").At(hop.StageQueue, q.Now().Sub(now))
 	}
 	began := q.Now()
 	e := Abandoned
@@ -206,9 +206,10 @@
 	k.sentCount.Add(1)
 	f := h.Do(x, w, r, q.Body)
 	e = endingOf(f)
-	k.recordResult(x, s, &f, q.Now())
+	now = q.Now()
+	k.recordResult(x, s, &f, now)
 	k.trackCrashes(x, s, r, q, level, f, began)
-	return f
+	return f.At(hop.StageWorker, now.Sub(began))
 }
 
 // readBody reads the body of a request and returns 0, or the code of why it was
