--- a/event/event.go
+++ b/event/event.go
@@ -70,7 +70,7 @@
 const (
 	Answered ID = 501 + iota
 	Failed
-	_ // 503 is reserved
+	ConnectionCut
 	Abandoned
 )
 
@@ -127,6 +127,7 @@
 	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route or service of the platform's configuration is invalid; the others are served."},
 	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
+	{ConnectionCut, "ConnectionCut", slog.LevelWarn, "A caller's connection ended under a request that was read and not answered completely, and the caller had not left."},
 	{Abandoned, "Abandoned", slog.LevelInfo, "The daemon that forwarded a request to this one gave it up; Stage, InStage and Took are as in FE502. Bounded by the limit of log lines about calls."},
 }
 
