hop: believe a refusal only if it can be matched to this send

Callers got 503, "not run", for requests that a worker was running (REFUSED); callers that retried had them run at a second worker (TWICE).

Cause: a worker's refusal (the header that says "not run", or status 421) was believed for whatever request was on the connection if it named no request id, and for each request that had its id. A faulty worker may write a refusal twice. The copy of one without an id, as of a request that had none, was taken for the next request. The copy of one with an id was taken for the same request offered again to the same worker, which happens when all other instances have no room and the request is let wait.

Evidence on the code before: TestSecondCopyOfRefusalProvesNothing failed in 82 of 168 cases, at each moment at which a copy may arrive, also in the race with net/http when the copy comes right behind the refusal: "503_with_id,_behind_the_refusal,_the_refused_request: GET /1 ran: {Outcome:not-run Code:FW3015 ...}". Through two daemons, TestCopyOfRefusalWhenOfferedAgain: "got {Status:503 Outcome:not-run Code:FW3015 ...}, want {Status:200 Outcome:run ...}" and TestCopyOfRefusalWithoutID: "1 runs: {Status:503 Outcome:not-run ...}".

Ruled out: figwheel's own interface has no refusals of workers, and takes no notice from the copy of an answer (TestOwnInterfaceHasNoRefusals). Health checks use a connection each (TestHealthChecksShareNoConnection). The own answer of a request that got a copy arrives on a retired connection; the third request of each case got no answer but its own. All three passed before as well.

The fix: a refusal without an id counts only for the first request on its connection. A connection remembers hashes of the ids that were refused on it, and a request with such an id uses another connection. A refusal that isn't proved so has an unknown outcome, gives no notice and retires the connection. Closing each connection after a refusal was not needed: a worker that refuses 1000 requests costs 4 connections, and one more for 100 requests that are offered again (TestRefusalOfThisRequestIsProof). A request closes 4 connections at most, so that a caller which uses one id for all of its requests can't close them all.

Conclusion: shown and mended for requests whose ids differ from attempt to attempt, as the platform promises. A copy on another connection than its refusal can't be told from a refusal.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -67,7 +67,8 @@
 	writes        uint64
 	writesBlocked bool
 
-	retired atomic.Bool // whether no further request may use it
+	retired  atomic.Bool // whether no further request may use it
+	refusals refusals
 }
 
 // Write implements net.Conn.
@@ -104,6 +105,8 @@
 	reused       bool   // whether conn has carried another request before
 	untracked    bool   // whether the request got a connection that is not a *conn
 	resent       bool   // whether net/http wanted to resend the request after a write
+	requestID    string // see contract.Headers; empty if the request has none
+	refusedConns int    // connections that were avoided, see mustAvoid
 }
 
 // withTrace returns x with a trace that calls gotConn.
@@ -128,7 +131,7 @@
 	s.conn = c
 	s.writesBefore = c.writeCount()
 	s.reused = i.Reused
-	if c.retired.Load() {
+	if c.retired.Load() || s.mustAvoid(c) {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -79,22 +79,27 @@
 // another attempt.
 func (h Hop) Do(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) Result {
 	var f Result
+	refusedConns := 0
 	for range staleConnsMax {
+		s := connTrace{refusedConns: refusedConns}
 		var stale bool
-		if f, stale = h.doOnce(x, w, r, b); !stale || x.Err() != nil {
+		if f, stale = h.doOnce(x, w, r, b, &s); !stale || x.Err() != nil {
 			return f
 		}
+		refusedConns = s.refusedConns
 	}
 	return f
 }
 
-// doOnce is Do on one connection. It also returns whether that was a reused
-// connection that failed before anything was written to it, which does not show
-// whether the address takes requests.
-func (h Hop) doOnce(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) (_ Result, stale bool) {
+// doOnce is Do on one connection, which s tracks. It also returns whether that was a
+// reused connection that failed before anything was written to it, which does not
+// show whether the address takes requests.
+func (h Hop) doOnce(x context.Context, w http.ResponseWriter, r *http.Request, b *Body, s *connTrace) (_ Result, stale bool) {
 	d, stop := b.newAttempt()
 	defer stop()
-	var s connTrace
+	if n := h.Headers.RequestID; n != "" && !h.Daemon {
+		s.requestID = r.Header.Get(n)
+	}
 	q := h.request(s.withTrace(x), r, d, b.length)
 	if h.Daemon && b.isLarge() {
 		q.Header["Expect"] = []string{"100-continue"}
@@ -106,7 +111,7 @@
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
-	f := h.handleResponse(w, r, p, b)
+	f := h.handleResponse(w, r, p, b, s)
 	if f.Code == result.WrongAnswer {
 		s.retire()
 	}
@@ -115,7 +120,7 @@
 
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
-func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body) Result {
+func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
@@ -128,7 +133,7 @@
 			return f
 		}
 	} else {
-		v := h.checkWorker(r, p)
+		v := h.checkWorker(r, p, s)
 		if v.OK() || v.Code == result.WorkerRefused {
 			v.Notice = h.Headers.Notice(p.Header)
 		}
@@ -191,18 +196,22 @@
 }
 
 // checkWorker returns a zero Result if p is the worker's response to r and may be
-// forwarded, and otherwise the result of the hop.
-func (h Hop) checkWorker(r *http.Request, p *http.Response) Result {
+// forwarded, and otherwise the result of the hop. Only a refusal that s proves to be of
+// r shows that r was not run.
+func (h Hop) checkWorker(r *http.Request, p *http.Response, s *connTrace) Result {
 	n := h.Headers
 	if n.RequestID == "" {
 		return h.checkExchange(p)
 	}
 	id := p.Header.Get(n.RequestID)
 	notRun := p.Header.Get(n.NotRun) != ""
+	misdirected := p.StatusCode == http.StatusMisdirectedRequest
 	switch {
 	case id != "" && id != r.Header.Get(n.RequestID):
 		return unknown(result.WrongAnswer, "the answer is to the request "+id)
-	case p.StatusCode == http.StatusMisdirectedRequest:
+	case (misdirected || notRun) && !s.proveRefusal(id):
+		return unknown(result.WrongAnswer, "the refusal "+strconv.Itoa(p.StatusCode)+" may be of an earlier request")
+	case misdirected:
 		return NotRun(result.WrongInstance, "another worker has the address")
 	case notRun:
 		return NotRun(result.WorkerRefused, "the worker answered "+strconv.Itoa(p.StatusCode)+" and did not run it")
--- /dev/null
+++ b/hop/refusal.go
@@ -0,0 +1,70 @@
+package hop
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// refusalsMax is the number of refusals after which a connection takes no
+	// further request, so that the ids of the requests need little memory.
+	refusalsMax = 256
+
+	// refusedConnsMax bounds the connections that a request closes because they have
+	// carried a refusal of its id. A caller that sends many requests with one id
+	// would otherwise have them all closed.
+	refusedConnsMax = 4
+)
+
+// refusals holds hashes of the ids of the requests that were refused on a
+// connection. A faulty worker may write a refusal twice, and a request that was
+// refused is sent again with the same id: a second refusal of an id on a connection
+// proves nothing.
+type refusals struct {
+	mu     sync.Mutex
+	hashes []uint64
+}
+
+// add adds the id and reports whether there is room for another one.
+func (s *refusals) add(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hashes = append(s.hashes, xxh3.HashString(id))
+	return len(s.hashes) < refusalsMax
+}
+
+// has reports whether a request with the id was refused. It may also do so for an
+// id whose hash is the same.
+func (s *refusals) has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.hashes) > 0 && slices.Contains(s.hashes, xxh3.HashString(id))
+}
+
+// mustAvoid reports whether the request must not be sent on the connection c,
+// because the answer might be a copy of a refusal of its id.
+func (s *connTrace) mustAvoid(c *conn) bool {
+	if s.requestID == "" || s.refusedConns == refusedConnsMax || !c.refusals.has(s.requestID) {
+		return false
+	}
+	s.refusedConns++
+	return true
+}
+
+// proveRefusal reports whether a refusal that names the request id, or none if id is
+// empty, can only be of the request of s. It can if nothing was sent on the
+// connection before, or if no request with the id was refused on it.
+func (s *connTrace) proveRefusal(id string) bool {
+	if s.conn == nil || s.untracked {
+		return false
+	}
+	if s.writesBefore > 0 && (id == "" || s.conn.refusals.has(id)) {
+		return false
+	}
+	if id != "" && !s.conn.refusals.add(id) {
+		s.retire()
+	}
+	return true
+}
