settings: derive the drain limit from the time until the process is killed

Cause: DrainLimit was 5 s in the template of the users' platform, whatever the platform allows; 5 s is right for 6 s, and the large deployment has 10 s.

Evidence: the template as it is rendered for that deployment had DrainLimit 5s beside bounds.grace_s 10.

StopTimeout is that time. DrainLimit defaults to five sixths of it and must be shorter. TestDrainLimitFollowsStopTimeout does not parse before.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,9 +44,11 @@
 	Seeds []string `yaml:"Seeds"` // peer addresses to try while the platform is unavailable
 
 	StageLimit Duration `yaml:"StageLimit"` // maximum time from the proposal of a change until it is staged everywhere
-	DrainLimit Duration `yaml:"DrainLimit"` // maximum time that a stopping daemon waits for requests in flight
+	DrainLimit Duration `yaml:"DrainLimit"` // maximum time that a stopping daemon waits for requests in flight; 0 is 5/6 of StopTimeout, or 30s without it
 	LogLevel   string   `yaml:"LogLevel"`   // Debug, Info, Warn or Error
 
+	StopTimeout Duration `yaml:"StopTimeout"` // time from SIGTERM until the process is killed; 0 if not known
+
 	WorkerLapse Duration `yaml:"WorkerLapse"` // time without an announcement or an answer after which a worker is considered lost; 0 is the default
 
 	CollectorPercent int `yaml:"CollectorPercent"` // heap growth in percent that starts a garbage collection; 0 is 400
@@ -169,7 +171,7 @@
 		s.StageLimit = Duration(stageLimitDefault)
 	}
 	if s.DrainLimit == 0 {
-		s.DrainLimit = Duration(drainLimitDefault)
+		s.DrainLimit = drainLimit(s.StopTimeout)
 	}
 	if s.LogLevel == "" {
 		s.LogLevel = "Info"
@@ -177,6 +179,16 @@
 	return s
 }
 
+// drainLimit returns the default drain limit of a process that is killed after the
+// time t, 0 if that is not known. It leaves a sixth of t for the daemon to announce
+// its end and to exit.
+func drainLimit(t Duration) Duration {
+	if t == 0 {
+		return Duration(drainLimitDefault)
+	}
+	return t * 5 / 6
+}
+
 // WithReload returns s with those settings of n that take effect while a daemon
 // runs.
 func (s Settings) WithReload(n Settings) Settings {
@@ -235,11 +247,14 @@
 			fail("Seeds has %q, which is not an IP address and a port", a)
 		}
 	}
-	for _, d := range []Duration{s.StageLimit, s.DrainLimit, s.WorkerLapse} {
+	for _, d := range []Duration{s.StageLimit, s.DrainLimit, s.StopTimeout, s.WorkerLapse} {
 		if t := time.Duration(d); t != 0 && t < durationMin || t > durationMax {
-			fail("StageLimit, DrainLimit and WorkerLapse take %s to %s, not %s", durationMin, durationMax, t)
+			fail("StageLimit, DrainLimit, StopTimeout and WorkerLapse take %s to %s, not %s", durationMin, durationMax, t)
 		}
 	}
+	if s.StopTimeout > 0 && s.DrainLimit >= s.StopTimeout {
+		fail("DrainLimit %s is not shorter than StopTimeout %s, after which the process is killed", time.Duration(s.DrainLimit), time.Duration(s.StopTimeout))
+	}
 	if s.Interface != "" && s.Interface != FigwheelInterface && s.Interface != PlatformInterface {
 		fail("Interface %q is neither %s nor %s", s.Interface, FigwheelInterface, PlatformInterface)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestDrainLimitFollowsStopTimeout guards against requests that are cut off although the process could still wait for them.
+func TestDrainLimitFollowsStopTimeout(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want time.Duration
+	}{
+		{"", 30 * time.Second},
+		{"StopTimeout: 6s", 5 * time.Second},
+		{"StopTimeout: 12s", 10 * time.Second},
+		{"StopTimeout: 0.6s", 500 * time.Millisecond},
+		{"StopTimeout: 12s\nDrainLimit: 7s", 7 * time.Second},
+	} {
+		s, err := settings.Parse([]byte(strings.Replace(good, "DrainLimit: 5s", c.text, 1)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(c.want, time.Duration(s.DrainLimit)); d != "" {
+			t.Errorf("%q (-want +got)\n%s", c.text, d)
+		}
+	}
+}
+
 // TestParseRejectsInvalidSettings guards against a daemon that starts with settings
 // that it cannot use, and against an error that does not name the setting.
 func TestParseRejectsInvalidSettings(t *testing.T) {
@@ -60,6 +82,8 @@
 		{"a platform without a scheme", "http://127.0.0.1:7400", "127.0.0.1:7400", "Platform"},
 		{"a duration without a unit", "DrainLimit: 5s", "DrainLimit: 5", "with its unit"},
 		{"a duration out of range", "DrainLimit: 5s", "DrainLimit: 5h", "DrainLimit"},
+		{"a drain limit that ends after the process is killed", "DrainLimit: 5s", "DrainLimit: 5s\nStopTimeout: 5s", "StopTimeout 5s"},
+		{"a stop timeout out of range", "DrainLimit: 5s", "StopTimeout: 5h", "StopTimeout"},
 		{"an unknown log level", "DrainLimit: 5s", "LogLevel: Loud", "LogLevel"},
 		{"an invalid seed", "DrainLimit: 5s", "Seeds: [x]", "Seeds"},
 		{"two faults, the second", "Instance: beeston-1\nSite: beeston", "Instance: A\nSite: B", "Site \"B\""},
