hop: let no interrupted read outlive its request

What callers saw: on a kept connection, after a request whose body was streamed or whose time was up, each further request could get "503 FW3010 CallerGone, not-run, context canceled" although its caller was there and waited. Or the connection ended while the next request was read.

Cause: a read of a caller's body is aborted by a read deadline in the past. The read may end well at the same moment, with the last byte of the body. (1) streamReader.stop then took the body for complete, and the connection was kept. But net/http watches the connection from the end of the body on, takes the timeout for a disconnect, and cancels the context of the connection: all its later requests are cancelled on arrival. (2) Load did not wait for the interrupt that the end of its context had started. The deadline could be set after the handler had returned, during a later request.

Ruled out: that net/http repairs this itself between two requests. It resets the deadline, but not the context of the connection.

Load now waits for an interrupt that has begun. A body that was interrupted counts as unfinished, whether or not the read has ended well, so that the answer closes the connection; and a stream that has ended is not interrupted. An answer that has begun without "Connection: close" cannot be hit, because its stream had ended before.

--- a/hop/body.go
+++ b/hop/body.go
@@ -38,6 +38,7 @@
 	buffered    atomic.Bool // whether the body is in buffer, or empty
 	consumed    atomic.Bool // whether an attempt has read from the body
 	streamEnded atomic.Bool // whether stream has been read to its end
+	interrupted atomic.Bool // whether the caller's connection takes no further request, see interrupt
 }
 
 // NewBody returns the body of r, whose response goes to w, without reading it. A
@@ -56,13 +57,20 @@
 	return b
 }
 
-// interrupt aborts a read of the body, and with it the caller's connection.
-func (b *Body) interrupt() { _ = b.control.SetReadDeadline(time.Unix(1, 0)) }
+// interrupt aborts a read of the body, and with it the caller's connection: net/http
+// may take the timeout for the end of the connection even if the read succeeds.
+func (b *Body) interrupt() {
+	b.interrupted.Store(true)
+	_ = b.control.SetReadDeadline(time.Unix(1, 0))
+}
 
-// Unfinished reports whether part of the body is unread although the response may
-// begin. The connection cannot take another request then: net/http would read the
-// rest after the handler returns, and take the next request for more of the body.
-func (b *Body) Unfinished() bool { return b != nil && b.duplex && !b.streamEnded.Load() }
+// Unfinished reports whether the connection cannot take another request, because
+// part of the body is unread although the response may begin, or a read of it was
+// interrupted. net/http would read the rest after the handler returns, and take the
+// next request for more of the body.
+func (b *Body) Unfinished() bool {
+	return b != nil && (b.interrupted.Load() || b.duplex && !b.streamEnded.Load())
+}
 
 // Load reads a body that is to be buffered. An error means that the caller did not
 // send the whole body before x ended; its connection cannot be used any further.
@@ -71,7 +79,16 @@
 		return nil
 	}
 	b.once.Do(func() {
-		defer context.AfterFunc(x, b.interrupt)()
+		interrupted := make(chan struct{})
+		stop := context.AfterFunc(x, func() {
+			defer close(interrupted)
+			b.interrupt()
+		})
+		defer func() {
+			if !stop() {
+				<-interrupted // a deadline set later would end the next request on the connection
+			}
+		}()
 		k := make([]byte, b.length)
 		if _, b.err = io.ReadFull(b.source, k); b.err == nil {
 			b.buffer = k
@@ -174,7 +191,9 @@
 func (r *streamReader) stop() {
 	r.closed.Store(true)
 	if !r.mu.TryLock() {
-		r.b.interrupt()
+		if !r.b.streamEnded.Load() {
+			r.b.interrupt()
+		}
 		r.mu.Lock()
 	}
 	r.mu.Unlock()
