caller: linger after an answer that comes before the whole request

What callers saw: a caller whose upload was rejected, or answered before it was read, was reset while it was still sending. Or its answer said that the connection closes, and the connection stayed open until it sent more.

Cause: such an answer carries "Connection: close". net/http then waits before it closes only where it knows more than 256 KB of a body with a length to be unread. A body in chunks, whose read was interrupted, it closes at once, and bytes that are unread or still arrive turn the close into a reset. If no read was interrupted, it reads the rest of such a body before it closes, without a limit of time, so that a caller that waits for the end of the connection, or stalls, holds it open; a daemon that stops waits for such a connection until its drain limit.

Not shown: that an answer is lost. Callers that give up at the failed write do not read it.

After an unfinished request, Connection.Close now ends the writing side and discards what arrives until the caller closes, for at most a second from the answer, and nothing else reads the body before. The limit is a point in time, so that a server that closes many of them waits a second in all; a second Close ends the wait.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -46,6 +46,18 @@
 	w.WriteHeader(contract.Status(f.Code, f.Outcome))
 }
 
+// endAnswer ends a request with the body b whose answer was written at the time now.
+// If part of the body is unread, the connection lingers when it is closed. Until then
+// nothing is read: net/http would read on before it closes the writing side, for as
+// long as the caller takes.
+func endAnswer(w http.ResponseWriter, p *progress, b *hop.Body, now time.Time) {
+	u := b.Unfinished()
+	if u {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	}
+	p.answer(u, now)
+}
+
 // finish ends a call whose result is f. If an answer was begun and is not
 // complete, it aborts the connection: the status has been sent, so the caller
 // cannot be informed in another way.
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -14,6 +14,15 @@
 // caller has to hold it back.
 const lookaheadBytesMax = 4 << 10
 
+const (
+	// lingerTimeMax is how long after an answer that was complete before its request
+	// the caller may go on sending. A close resets the connection if bytes are unread
+	// or still arrive, and a reset may discard the answer.
+	lingerTimeMax = time.Second
+
+	lingerBufferBytes = 16 << 10
+)
+
 // Connection is the connection of a caller. It detects that the caller has
 // disconnected even while pipelined requests are pending. While net/http serves
 // a request, it detects a disconnect by a read of one byte. The first byte of a
@@ -189,8 +198,26 @@
 	return nil
 }
 
-// Close implements net.Conn. It returns after the lookahead has ended.
+// linger ends the writing side of the connection, and discards what the caller sends
+// until it closes its side or the time until has come.
+func (c *Connection) linger(until time.Time) {
+	if c.CloseWrite() != nil || c.SetReadDeadline(until) != nil {
+		return
+	}
+	b := make([]byte, lingerBufferBytes)
+	for {
+		if _, err := c.Read(b); err != nil {
+			return
+		}
+	}
+}
+
+// Close implements net.Conn. It lingers if the answer was complete before its request,
+// unless another Close does so, which it ends. It returns after the lookahead has ended.
 func (c *Connection) Close() error {
+	if t := c.progress.lingerUntil(); !t.IsZero() {
+		c.linger(t)
+	}
 	unread := hasUnreadBytes(c.Conn)
 	err := c.Conn.Close()
 	c.report(c.progress.close(unread))
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -41,8 +41,9 @@
 	mu           sync.Mutex
 	current      Cut // of the last request that its handler took
 	stage        stage
-	reason       string // why the connection will end
-	unfinished   bool   // whether the answer was complete before the request
+	reason       string    // why the connection will end
+	unfinished   bool      // whether the answer was complete before the request
+	lingerEnd    time.Time // see lingerUntil
 	callerLeft   bool
 	ended        bool // whether the end was reported or is none to report
 	requestBytes int64
@@ -73,15 +74,32 @@
 	p.reason = reason
 }
 
-// answer records that the handler has written the whole answer. With unfinished,
-// part of the request is unread.
-func (p *progress) answer(unfinished bool) {
+// answer records that the handler has written the whole answer at the time now. With
+// unfinished, part of the request is unread.
+func (p *progress) answer(unfinished bool, now time.Time) {
 	if p == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stage, p.unfinished = stageAnswered, unfinished
+	if unfinished {
+		p.lingerEnd = now.Add(lingerTimeMax)
+	}
+}
+
+// lingerUntil returns the time until which the connection is to be read from before
+// it is closed, to the first Close of one on which part of an answered request is
+// unread. Otherwise it returns zero.
+func (p *progress) lingerUntil() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.lingerEnd
+	p.lingerEnd = time.Time{}
+	if p.callerLeft {
+		return time.Time{}
+	}
+	return t
 }
 
 // read records the result of a read of the connection.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -126,7 +126,7 @@
 		p.reach(stageFailed, f.Code.String()+" "+f.Text)
 	}
 	finish(w, f, h.retryAfter(c, f))
-	p.answer(c.body.Unfinished())
+	endAnswer(w, p, c.body, h.Now())
 }
 
 // answer selects the route of the request and makes its attempts.
