hop: do not forward an answer with a status below 200

A worker that switches protocols unasked (101), or names a status such as 099, got its answer forwarded. After a 101 the caller's connection speaks another protocol for the caller, and the answers to its next requests on it belong to none of them. At a status below 100 net/http panics in the handler, and the caller's connection closed without an answer. A HEAD request whose answer had no length got "Content-Length: 0", the length of the body that it doesn't have.

Cause: Hop took any status for an answer, and the length of a buffered body for that of the answer, also for HEAD.

No head or body that is cut, at any byte, by a close or a reset, at the worker of this daemon or of another one, or on the link, became a whole answer. Each such request was sent once and ended as 502 with an unknown outcome, or with a connection that ends in the middle of the answer, and the next answer on the connection was that of its request. TestSilentAnswerIsNotWhole shows the same for a worker that stops and keeps the connection.

The fix: a status below 200 that reaches the hop is a wrong answer with an unknown outcome, whose connection is retired. net/http has taken out the interim answers by then. No length is set for HEAD.

Conclusion: shown for statuses and HEAD, and mended. A platform worker that does this has not been seen.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -124,6 +124,10 @@
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
 func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
+	if p.StatusCode < http.StatusOK {
+		// It answers no request that is sent here, and net/http panics when it is forwarded.
+		return unknown(result.WrongAnswer, "the answer has the status "+strconv.Itoa(p.StatusCode))
+	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
@@ -155,7 +159,7 @@
 		if err != nil {
 			return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 		}
-		if complete && p.ContentLength < 0 && len(p.Trailer) == 0 {
+		if complete && p.ContentLength < 0 && len(p.Trailer) == 0 && r.Method != http.MethodHead {
 			p.ContentLength = int64(n) // the response is complete, so its length is now known
 			p.Header.Set("Content-Length", strconv.Itoa(n))
 		}
