caller: reset an HTTP/1.0 caller whose answer is cut

A caller that speaks HTTP/1.0 got a 200 with a short body that looked whole, when the worker broke off an answer that was already being forwarded.

Cause: such an answer has no chunks and, where the worker sent no length, none either. It ends with its connection, and the handler's abort (http.ErrAbortHandler) closes that in the ordinary way.

Evidence: TestOldCallerGetsNoShortAnswer printed before the fix, on a plain connection and on one of a daemon: "40191 bytes that end as a whole answer does". The worker had written 40000 of 49152 bytes of its body. On the platform's interface only bodies that don't fit the daemon's buffer of 32 KiB are affected, and any that are cut on the link between daemons.

Ruled out: HTTP/1.1 callers. Their answer has a length or chunks, also with "Connection: close", and ends without the last chunk (TestCutAnswerIsNotWhole).

The fix: the connection of such a caller is reset. It is still reported as cut (FE503).

Conclusion: shown and mended where a handler ends the answer. A daemon that closes its last connections at the end of its grace time still does so in the ordinary way. The platform's callers speak HTTP/1.1.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -124,6 +124,7 @@
 	}
 	if f.Begun && !f.OK() {
 		p.reach(stageFailed, f.Code.String()+" "+f.Text)
+		resetOldCaller(w, r)
 	}
 	finish(w, f, h.retryAfter(c, f))
 	p.answer(c.body.Unfinished())
