hop: keep the connection of a refusal that has a body

A worker that refuses requests with a short body, such as "busy", got a new connection for each refusal. That is the usual case under overload, and new connections to workers are what such a worker has least of.

Cause: the body of a refusal isn't forwarded and wasn't read. net/http closes a connection whose body is closed unread.

Evidence: TestRefusalWithBodyKeepsConnection printed before the fix "length: 20 connections for 20 refusals" and the same for chunks, against 1 for a refusal without a body. Whether the platform's workers send bodies with their refusals was not looked at.

Ruled out: that the check of refusals closes connections that it needn't; without a body 100 refusals took 1 connection.

The fix: a proved refusal's body of up to 4 KiB is read, for 20 ms at most. A larger one, and one that stops, cost the connection as before, and the request is not held up.

Conclusion: shown and mended.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -144,6 +144,9 @@
 		if v.OK() || v.Code == result.WorkerRefused {
 			v.Notice = h.Headers.Notice(p.Header)
 		}
+		if v.Outcome == contract.NotRun {
+			drain(p)
+		}
 		if !v.OK() {
 			return v
 		}
--- a/hop/refusal.go
+++ b/hop/refusal.go
@@ -1,8 +1,11 @@
 package hop
 
 import (
+	"io"
+	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -16,6 +19,12 @@
 	// carried a refusal of its id. A caller that sends many requests with one id
 	// would otherwise have them all closed.
 	refusedConnsMax = 4
+
+	// drainBytesMax bounds the body of a refusal that is read so that the connection
+	// can be used again, in bytes.
+	drainBytesMax = 4 << 10
+	// drainTimeout is how long the answer to a refused request waits for that body.
+	drainTimeout = 20 * time.Millisecond
 )
 
 // refusals holds hashes of the ids of the requests that were refused on a
@@ -68,3 +77,13 @@
 	}
 	return true
 }
+
+// drain reads the body of the refusal p if it is short: otherwise each refusal would
+// cost a connection.
+func drain(p *http.Response) {
+	if p.Close || p.ContentLength > drainBytesMax {
+		return
+	}
+	defer time.AfterFunc(drainTimeout, func() { _ = p.Body.Close() }).Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(p.Body, drainBytesMax+1))
+}
