caller: linger between daemons as well as towards callers

What callers saw: an upload that a worker behind another daemon rejected was answered "502 FW3011 AnswerLost, unknown" instead of 503. A request that must not run twice could then not be sent again, though it had not run.

Cause: the daemon of the worker answers before it has read the upload, and closes the connection; bytes that still arrive turn the close into a reset. The daemon of the caller, which is still sending, sees its write fail, and net/http gives up the response with it.

Evidence: TestRejectionOfUploadReachesCallerThroughTwoDaemons before the change, in 18, 14 and 17 of 40 uploads:

upload 0: {Status:502 Outcome:unknown Code:FW3011}, want 503 and not-run

and TestEarlyAnswerResetsNoCallerThatIsStillSending, at a daemon's address for other daemons:

linger_test.go:88: after the answer: ... i/o timeout, want EOF linger_test.go:92: part 2: ... write: broken pipe

Ruled out: the connection to the worker. The worker of the test reads on and closes nothing.

The tests of caller serve both addresses through caller.Listener, as a daemon does; no check was taken out.

Afterwards: 20 runs of the first test (800 uploads), and 5 with -race, pass; caller passes with -race; cmd and demo pass.

Not changed: a worker that rejects an upload and itself resets the connection is still answered 502. What it wrote before the reset is lost in the same way.

--- a/caller/linger_test.go
+++ b/caller/linger_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -20,18 +19,6 @@
 	"figwheel/link"
 )
 
-// callAddress returns an address at which the node takes calls as a daemon does.
-func callAddress(t testing.TB, n *node) string {
-	s := httptest.NewUnstartedServer(n.call.Config.Handler)
-	s.Listener = caller.Listener{Listener: s.Listener}
-	s.Config.ConnContext = caller.ConnContext
-	s.Config.ReadHeaderTimeout = 10 * time.Second
-	s.Config.IdleTimeout = 2 * time.Minute
-	s.Start()
-	t.Cleanup(s.Close)
-	return address(s)
-}
-
 const (
 	chunkBytes = 16 << 10
 	chunks     = 128 // of an upload, more than the buffers of a connection hold
@@ -39,7 +26,7 @@
 
 // uploadHead returns the headers of an upload and its first chunk.
 func uploadHead(chunked bool) string {
-	const head = "POST /once/ HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a1\r\n"
+	const head = "POST /once/ HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a1\r\nFigwheel-Service: s\r\nFigwheel-Deadline-Ms: 60000\r\n"
 	if chunked {
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + uploadChunk(chunked)
 	}
@@ -65,41 +52,68 @@
 		"answered": {"200 OK", id + "Figwheel-Server-Seal: s\r\n", http.StatusOK},
 	} {
 		for _, chunked := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, chunked %t", name, chunked), func(t *testing.T) {
-				w := listen(t, func(c2 net.Conn) {
-					b := bufio.NewReader(c2)
-					if _, err := http.ReadRequest(b); err != nil {
-						return
+			for _, link := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, chunked %t, by another daemon %t", name, chunked, link), func(t *testing.T) {
+					w := listen(t, func(n net.Conn) {
+						b := bufio.NewReader(n)
+						if _, err := http.ReadRequest(b); err != nil {
+							return
+						}
+						reply(n, c.status, c.headers, "early")
+						_, _ = io.Copy(io.Discard, b)
+					})
+					e := platformMeshWithBodyLimit(t, 4<<20, w)
+					a := address(e.call)
+					if link {
+						a = e.View().Candidates["s"].Choose(time.Now(), "once", rand.New(rand.NewPCG(1, 1)), nil, 0).Address
 					}
-					reply(c2, c.status, c.headers, "early")
-					_, _ = io.Copy(io.Discard, b)
-				})
-				k, err := net.Dial("tcp", callAddress(t, platformMeshWithBodyLimit(t, 4<<20, w)))
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = k.Close() }()
-				_ = k.SetDeadline(time.Now().Add(10 * time.Second))
-				_, _ = io.WriteString(k, uploadHead(chunked))
-				b := bufio.NewReader(k)
-				p, err := http.ReadResponse(b, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				_, err = io.Copy(io.Discard, p.Body)
-				_ = p.Body.Close()
-				if err != nil || p.StatusCode != c.want || !p.Close {
-					t.Errorf("got %d, closes %t, %v; want %d and true", p.StatusCode, p.Close, err, c.want)
-				}
-				if _, err := b.ReadByte(); !errors.Is(err, io.EOF) {
-					t.Errorf("after the answer: %v, want %v", err, io.EOF)
-				}
-				for i := range chunks - 1 {
-					if _, err := io.WriteString(k, uploadChunk(chunked)); err != nil {
-						t.Fatalf("part %d: %v", i+1, err)
+					k, err := net.Dial("tcp", a)
+					if err != nil {
+						t.Fatal(err)
 					}
-				}
-			})
+					defer func() { _ = k.Close() }()
+					_ = k.SetDeadline(time.Now().Add(10 * time.Second))
+					_, _ = io.WriteString(k, uploadHead(chunked))
+					b := bufio.NewReader(k)
+					p, err := http.ReadResponse(b, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					_, err = io.Copy(io.Discard, p.Body)
+					_ = p.Body.Close()
+					if err != nil || p.StatusCode != c.want || !p.Close {
+						t.Errorf("got %d, closes %t, %v; want %d and true", p.StatusCode, p.Close, err, c.want)
+					}
+					if _, err := b.ReadByte(); !errors.Is(err, io.EOF) {
+						t.Errorf("after the answer: %v, want %v", err, io.EOF)
+					}
+					for i := range chunks - 1 {
+						if _, err := io.WriteString(k, uploadChunk(chunked)); err != nil {
+							t.Fatalf("part %d: %v", i+1, err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestRejectionOfUploadReachesCallerThroughTwoDaemons guards against a rejection that is lost between two daemons, so that the caller does not learn that its request was not run.
+func TestRejectionOfUploadReachesCallerThroughTwoDaemons(t *testing.T) {
+	const uploads, size = 40, 600 << 10
+	w := listen(t, func(n net.Conn) {
+		b := bufio.NewReader(n)
+		if _, err := http.ReadRequest(b); err != nil {
+			return
+		}
+		reply(n, "503 Service Unavailable", "Figwheel-Attempt-Id: a1\r\nFigwheel-Not-Executed: 1\r\n", "full")
+		_, _ = io.Copy(io.Discard, b)
+	})
+	e := platformMeshWithBodyLimit(t, 4<<20, w)
+	body := make([]byte, size)
+	for i := range uploads {
+		if g := upload(t, e, body, i%2 == 0); g.Status != http.StatusServiceUnavailable || g.Outcome != "not-run" {
+			t.Errorf("upload %d: %+v, want 503 and not-run", i, g)
 		}
 	}
 }
--- a/caller/link.go
+++ b/caller/link.go
@@ -76,6 +76,7 @@
 		}
 		writeLinkFailure(w, f)
 	}
+	endAnswer(w, progressOf(r), b, h.Now())
 }
 
 // addLoad sets the load header of the answer to r. It is called just before the
