daemon: close only connections between two requests when draining

What callers saw: in a planned stop, and in TestDrain, a request on a kept connection could get a reset or an end of stream instead of an answer; it could have been sent on, so that one that must not run twice could not be sent again.

Cause: Daemon.leave closed a server as soon as net/http reported no connection as active. net/http reports a request as active only when its headers have been read: a kept connection counts as idle, and one that is older than a second as unused, while its next request is being read. The close then took the connection from under a request that was read and perhaps passed on.

Fix: each connection notes whether a byte of a next request has been read, and is closed alone, between two requests. It is not closed either if bytes have arrived in the kernel's buffer that nobody has read yet, because a close would reset it. A Read that got bytes and comes after the close returns none of them, so that no such request is served. The final close of the servers at the drain limit is unchanged, and so is what FE503 reports: closeUnread closes the caller.Connection beneath, which has no request then.

What was considered: bytes that caller.Connection has read ahead begin with a one-byte read of net/http, which marks the next request as begun, so that the connection stays open. A third pipelined request that lies in the lookahead alone may be dropped unread; it is not passed on, since the close cancels the requests of the connection. An HTTP/2 connection is closed when net/http reports it as idle, as before. A caller that has sent a part of a request and stalls holds the drain until its limit; before, it was cut off.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -191,7 +191,7 @@
 
 // Close implements net.Conn. It returns after the lookahead has ended.
 func (c *Connection) Close() error {
-	unread := hasUnreadBytes(c.Conn)
+	unread := HasUnreadBytes(c.Conn)
 	err := c.Conn.Close()
 	c.report(c.progress.close(unread))
 	c.mu.Lock()
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -156,8 +156,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// hasUnreadBytes reports whether the receive buffer of c holds bytes.
-func hasUnreadBytes(c net.Conn) bool {
+// HasUnreadBytes reports whether the receive buffer of c, which may be a
+// *Connection, holds bytes.
+func HasUnreadBytes(c net.Conn) bool {
+	if k, ok := c.(*Connection); ok {
+		c = k.Conn
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -37,17 +37,33 @@
 		c.states = make(map[net.Conn]connection)
 	}
 	c.states[n] = connection{s, time.Now()}
+	if k, ok := n.(*keptConn); ok {
+		k.setState(s)
+	}
 }
 
-// isBusy reports whether a request is being answered or may be about to arrive on
-// a new connection.
-func (c *connections) isBusy(now time.Time) bool {
+// closeIdle closes the connections that are between two requests. It closes none
+// while a request is in flight or about to arrive on a new connection: a caller
+// whose next request comes until then gets an answer. It reports whether all
+// connections have been closed.
+func (c *connections) closeIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range c.states {
-		if k.state == http.StateActive || k.state == http.StateNew && now.Sub(k.since) < newConnectionGrace {
-			return true
+		if k.isBusy(now) {
+			return false
+		}
+	}
+	for n := range c.states {
+		if k, ok := n.(*keptConn); ok && k.closeUnread() {
+			delete(c.states, n)
 		}
 	}
-	return false
+	return len(c.states) == 0
+}
+
+// isBusy reports whether a request is being answered on the connection or may be
+// about to arrive on a new one.
+func (k connection) isBusy(now time.Time) bool {
+	return k.state == http.StateActive || k.state == http.StateNew && now.Sub(k.since) < newConnectionGrace
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -101,26 +101,31 @@
 	connections *connections
 }
 
-// finish stops listening, waits until every request is answered or x ends, and
-// closes the server.
-func (s *server) finish(x context.Context) error {
+// finish stops listening, waits until every request is answered, and closes each
+// connection between two requests. It returns when all are closed or x ends.
+func (s *server) finish(x context.Context) {
 	s.listener.drain()
-	for s.connections.isBusy(time.Now()) && pause(x, drainPollInterval) {
+	for !s.connections.closeIdle(time.Now()) && pause(x, drainPollInterval) {
 		continue
 	}
-	return s.Close()
 }
 
 // startCallListener starts a server like start, for the address that callers use.
 func (s *servers) startCallListener(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, caller.Listener{Listener: l, Cut: s.daemon.recordCut}, h, caller.ConnContext)
+	x := func(x context.Context, c net.Conn) context.Context {
+		if k, ok := c.(*keptConn); ok {
+			c = k.Conn
+		}
+		return caller.ConnContext(x, c)
+	}
+	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: s.daemon.recordCut}}, h, x)
 }
 
 // start starts a server that serves the connections of a with h.
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, l, h, nil)
+	return s.serve(l, keptListener{l}, h, nil)
 }
 
 // serve starts a server that serves the connections of o with h. The listener o
@@ -290,11 +295,14 @@
 	for d.worker.InFlight() > 0 && pause(x, drainPollInterval) {
 		continue
 	}
-	var g errgroup.Group
+	var g sync.WaitGroup
 	for _, v := range s.work {
-		g.Go(func() error { return v.finish(x) })
+		g.Go(func() { v.finish(x) })
+	}
+	g.Wait()
+	for _, v := range s.work {
+		_ = v.Close()
 	}
-	_ = g.Wait()
 	d.announceLeft(x)
 }
 
