merge: connections between two requests when draining

Both addresses for requests wrap their connections in keptConn around caller.Connection; keptConn hands SetLinger on, for callers whose cut answers are reset.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -218,7 +218,7 @@
 	if t := c.progress.lingerUntil(); !t.IsZero() {
 		c.linger(t)
 	}
-	unread := hasUnreadBytes(c.Conn)
+	unread := HasUnreadBytes(c.Conn)
 	err := c.Conn.Close()
 	c.report(c.progress.close(unread))
 	c.mu.Lock()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -101,26 +101,28 @@
 	connections *connections
 }
 
-// finish stops listening, waits until every request is answered or x ends, and
-// closes the server.
-func (s *server) finish(x context.Context) error {
+// finish stops listening, waits until every request is answered, and closes each
+// connection between two requests. It returns when all are closed or x ends.
+func (s *server) finish(x context.Context) {
 	s.listener.drain()
-	for s.connections.isBusy(time.Now()) && pause(x, drainPollInterval) {
+	for !s.connections.closeIdle(time.Now()) && pause(x, drainPollInterval) {
 		continue
 	}
-	return s.Close()
 }
 
-// startCallListener starts a server like start, for the address that callers use.
-func (s *servers) startCallListener(a net.Listener, h http.Handler) *server {
+// startWork starts a server like start, for an address at which callers or other
+// daemons send requests. The function cut may be nil, see caller.Listener.
+func (s *servers) startWork(a net.Listener, h http.Handler, cut func(caller.Cut)) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, caller.Listener{Listener: l, Cut: s.daemon.recordCut}, h, caller.ConnContext)
+	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, connContext)
 }
 
-// startLinkListener starts a server like start, for the address that other daemons use.
-func (s *servers) startLinkListener(a net.Listener, h http.Handler) *server {
-	l := newDrainingListener(a)
-	return s.serve(l, caller.Listener{Listener: l}, h, caller.ConnContext)
+// connContext is caller.ConnContext for connections of a keptListener.
+func connContext(x context.Context, c net.Conn) context.Context {
+	if k, ok := c.(*keptConn); ok {
+		c = k.Conn
+	}
+	return caller.ConnContext(x, c)
 }
 
 // start starts a server that serves the connections of a with h.
@@ -181,8 +183,8 @@
 	s := &servers{daemon: d}
 	e := d.edge.Headers
 	s.work = []*server{
-		s.startCallListener(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}),
-		s.startLinkListener(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}),
+		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut),
+		s.startWork(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}, nil),
 	}
 	p := http.NewServeMux()
 	p.Handle(peer.NewHandler(d))
@@ -296,11 +298,14 @@
 	for d.worker.InFlight() > 0 && pause(x, drainPollInterval) {
 		continue
 	}
-	var g errgroup.Group
+	var g sync.WaitGroup
 	for _, v := range s.work {
-		g.Go(func() error { return v.finish(x) })
+		g.Go(func() { v.finish(x) })
+	}
+	g.Wait()
+	for _, v := range s.work {
+		_ = v.Close()
 	}
-	_ = g.Wait()
 	d.announceLeft(x)
 }
 
