caller: deduct the transit time from deadlines between daemons

What callers saw: requests that reached a worker after their caller had left (GONE), on daemons whose link is slow (11 Mbit/s, answers of 90 KB).

Cause: a forwarded request carries the time left when it is sent, and the other daemon counts it from when it reads the request. A queue in the sender's own outgoing link delays both the request and the close that follows when it is given up by up to 0.9 s. The other daemon then has a request whose deadline has passed, with time left, and sends it to its worker before it sees the close.

A daemon now states in its load report how long it took from the read of the request to the head of the answer. The round trip less that is the transit time; its minimum over about a second, of all requests or of those to the instance, whichever is greater, is deducted from the deadline and the goal, and an instance from which no answer can come in time is passed over.

Ruled out: absolute times (clocks differ and jump); samples of new connections and of large bodies (further round trips); a cost in link.Choose: unsampled instances would look near, and all requests would go there.

An older daemon ignores the sixth field of the load report. If there is a rate limit, it also reads the wait as 0, which then lacks in its expected time while the two builds are mixed; the gate of the worker keeps the limit regardless.

TestLinkRejectionIsSmall expected the load report "0 0 0"; it now expects the exact text with the time taken, which must be above 0 and within the time that the test measures. Its limit of bytes is as before.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -538,6 +538,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
+	sent := time.Now()
 	_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n%s: s\r\n%s: %s\r\n\r\n", contract.ServiceHeader, contract.ReleaseHeader, e.View().Release())
 	b, err := io.ReadAll(c)
 	if err != nil {
@@ -548,8 +549,12 @@
 		t.Fatal(err)
 	}
 	_ = p.Body.Close()
+	l, _ := link.ParseLoad(p.Header.Get(contract.LoadHeader))
+	if l.Took <= 0 || l.Took > time.Since(sent) {
+		t.Errorf("the rejection took %s of %s", l.Took, time.Since(sent))
+	}
 	got := []string{p.Header.Get(contract.CodeHeader), p.Header.Get(contract.OutcomeHeader), p.Header.Get(contract.LoadHeader)}
-	if d := cmp.Diff([]string{"FW3008", "not-run", "0 0 0"}, got); d != "" {
+	if d := cmp.Diff([]string{"FW3008", "not-run", fmt.Sprintf("0 0 0 0 0 %d", l.Took.Microseconds())}, got); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
 	if len(b) > bytesMax {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -80,7 +80,8 @@
 	Headers   contract.Headers // names of the headers that callers use
 	Origin    string           // service of the worker of this daemon
 
-	budgets sync.Map // of *contract.Budget, by service
+	budgets sync.Map     // of *contract.Budget, by service
+	transit link.Transit // of requests to all other daemons: of the link of this one
 }
 
 // call is the state of one request while it is served.
@@ -256,12 +257,15 @@
 	var last *link.Candidate
 	for i := range offersMax {
 		now := h.Now()
-		k := l.Choose(now, c.admission.Kind, c.random, c.tried, c.otherSiteCost())
+		k, late := h.choose(l, c, now)
+		if late && f.Code == result.NoInstance {
+			f = hop.NotRun(result.DeadlineExceeded, "no answer can come in time")
+		}
 		if k == nil && !mayWait && f.Code == result.Overloaded {
 			// All instances are full: wait at the one with the lowest expected time.
 			mayWait = true
 			c.tried = c.tried[:0]
-			k = l.Choose(now, c.admission.Kind, c.random, nil, c.otherSiteCost())
+			k, _ = h.choose(l, c, now)
 		}
 		if k == nil || waitOffers > 0 && f.Code == result.Overloaded && !k.MayHaveRoom(last, now) {
 			return f
@@ -280,6 +284,46 @@
 	return f
 }
 
+// choose returns the candidate of l for the next attempt at now, or nil if there is
+// none. It passes over those whose answer cannot arrive in time by their transit
+// time alone; if there is no other, it returns late.
+func (h *Handler) choose(l link.Candidates, c *call, now time.Time) (k *link.Candidate, late bool) {
+	tried := c.tried
+	for {
+		k = l.Choose(now, c.admission.Kind, c.random, tried, c.otherSiteCost())
+		if k == nil {
+			return nil, late
+		}
+		if d := h.transitTime(k, now); d == 0 || c.deadline.Sub(now)-d >= attemptTimeMin {
+			return k, false
+		}
+		late = true
+		tried = append(slices.Clip(tried), k.Name)
+	}
+}
+
+// transitTime returns the time that a request to k and the head of its answer are
+// expected to spend on the way, 0 if it is unknown. A queue in the link of this
+// daemon delays the requests to all others, one in the link of k those to k.
+func (h *Handler) transitTime(k *link.Candidate, now time.Time) time.Duration {
+	if k.Local {
+		return 0
+	}
+	return max(h.transit.Estimate(now), k.Peer.Transit.Estimate(now))
+}
+
+// observeTransit records the transit time of a request that was sent to k at the
+// time sent and has the result f.
+func (h *Handler) observeTransit(k *link.Candidate, f hop.Result, sent time.Time) {
+	l, ok := link.ParseLoad(f.Load)
+	if !ok || l.Took == 0 || f.HeadAt.IsZero() {
+		return
+	}
+	d := f.HeadAt.Sub(sent) - l.Took
+	k.Peer.Transit.Observe(d, f.HeadAt)
+	h.transit.Observe(d, f.HeadAt)
+}
+
 // mayRetry reports whether to make another attempt after one with the result f.
 // If that attempt reached a worker, the next one is taken from the budget b.
 func (h *Handler) mayRetry(c *call, f hop.Result, b *contract.Budget, l link.Candidates) bool {
@@ -331,11 +375,12 @@
 		return f
 	}
 	sent := now
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now)}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(h.transitTime(k, now))), Now: h.Now}
 	f := p.Do(x, w, r, c.body)
 	now = h.Now()
 	f = f.At(hop.StageLink, now.Sub(sent))
 	k.Peer.End(f.Load, c.admission.Kind, now)
+	h.observeTransit(k, f, sent)
 	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
 		k.Peer.Eject(now.Add(ejectTime))
 	}
@@ -363,13 +408,14 @@
 // then the membership protocol has detected whether it failed.
 const ejectTime = 2 * time.Second
 
-// attemptHeaders returns the headers of an attempt that is sent to another daemon
-// at now.
-func (c *call) attemptHeaders(now time.Time) []hop.Field {
+// attemptHeaders returns the headers of an attempt at another daemon. The time that
+// it may take there counts from the time t: when it is sent, and later by its transit
+// time, which the other daemon does not know.
+func (c *call) attemptHeaders(t time.Time) []hop.Field {
 	l := append(make([]hop.Field, 0, len(c.linkHeaders)+3), c.linkHeaders...)
-	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.RemainingMs(now, c.deadline)})
+	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.RemainingMs(t, c.deadline)})
 	if !c.admission.Goal.IsZero() {
-		l = append(l, hop.Field{Name: contract.GoalHeader, Value: contract.RemainingMs(now, c.admission.Goal)})
+		l = append(l, hop.Field{Name: contract.GoalHeader, Value: contract.RemainingMs(t, c.admission.Goal)})
 	}
 	if c.crashes > 0 {
 		l = append(l, hop.Field{Name: contract.CrashesHeader, Value: strconv.Itoa(c.crashes)})
--- a/caller/link.go
+++ b/caller/link.go
@@ -49,6 +49,7 @@
 // ServeHTTP implements http.Handler. If the answer is begun and cannot be
 // completed, it panics with http.ErrAbortHandler.
 func (h *LinkHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t := h.Now()
 	v := h.Daemon.View()
 	if h.Daemon.IsDraining() {
 		w.Header().Set("Connection", "close") // applies to this link and is not forwarded
@@ -58,19 +59,18 @@
 		v = h.Daemon.View()
 	}
 	w.Header().Set(contract.ReleaseHeader, v.release)
-	if a := h.Daemon.ConfirmationAgeMs(h.Now()); a != "" {
+	if a := h.Daemon.ConfirmationAgeMs(t); a != "" {
 		w.Header().Set(contract.AgeHeader, a)
 	}
 	w.Header()["Date"] = nil // not used between daemons
 	b := hop.NewBody(w, r)
-	t := h.Now()
 	f := h.serve(w, r, b, t)
 	h.recordAbandoned(r, f, t)
 	switch {
 	case f.Begun:
 		finish(w, f, 0)
 	case !f.OK():
-		h.addLoad(w.Header(), r)
+		h.addLoad(w.Header(), r, t)
 		if b.Unfinished() {
 			w.Header().Set("Connection", "close")
 		}
@@ -78,10 +78,13 @@
 	}
 }
 
-// addLoad sets the load header of the answer to r. It is called just before the
-// answer is sent, so that the load is current.
-func (h *LinkHandler) addLoad(a http.Header, r *http.Request) {
-	a.Set(contract.LoadHeader, h.Worker.Load(h.Now(), r.Header.Get(contract.KindHeader)).String())
+// addLoad sets the load header of the answer to r, which was read at the time t. It
+// is called just before the answer is sent, so that the load is current.
+func (h *LinkHandler) addLoad(a http.Header, r *http.Request, t time.Time) {
+	now := h.Now()
+	l := h.Worker.Load(now, r.Header.Get(contract.KindHeader))
+	l.Took = max(time.Microsecond, now.Sub(t)) // 0 stands for unknown
+	a.Set(contract.LoadHeader, l.String())
 }
 
 // recordAbandoned reports a request that was read at the time t and has the result
@@ -117,7 +120,7 @@
 		Origin:           r.Header.Get(contract.OriginHeader),
 		Body:             b,
 		Now:              h.Now,
-		Before:           func(a http.Header) { h.addLoad(a, r) },
+		Before:           func(a http.Header) { h.addLoad(a, r, now) },
 	}
 	q.Crashes, _ = strconv.Atoi(r.Header.Get(contract.CrashesHeader)) // 0 without the header, as in most requests
 	// A request without a readable rank is treated as one of the least important.
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -102,7 +102,7 @@
 type connTrace struct {
 	conn         *conn  // the last connection that the request got
 	writesBefore uint64 // writes on conn before the request
-	reused       bool   // whether conn has carried another request before
+	reused       bool   // whether the last connection has carried another request before
 	untracked    bool   // whether the request got a connection that is not a *conn
 	resent       bool   // whether net/http wanted to resend the request after a write
 	requestID    string // see contract.Headers; empty if the request has none
@@ -119,6 +119,7 @@
 // retry budget is decided elsewhere, so writes on the second connection are blocked
 // if the request was written to the first.
 func (s *connTrace) gotConn(i httptrace.GotConnInfo) {
+	s.reused = i.Reused
 	c, ok := i.Conn.(*conn)
 	if !ok {
 		s.untracked = true
@@ -130,7 +131,6 @@
 	}
 	s.conn = c
 	s.writesBefore = c.writeCount()
-	s.reused = i.Reused
 	if c.retired.Load() || s.mustAvoid(c) {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -37,6 +37,8 @@
 	HoldBack bool
 	// Before is called with the response headers before they are sent; may be nil.
 	Before func(h http.Header)
+	// Now returns the present time for Result.HeadAt; may be nil.
+	Now func() time.Time
 }
 
 // Field is a header that a hop adds to the request.
@@ -56,6 +58,9 @@
 	Age     string          // age header of a daemon's response: age of the newest confirmation of its release, in milliseconds
 	Stage   Stage           // at which the request ended; empty before the first
 	InStage time.Duration   // for which the request was at that stage
+	// HeadAt is when the head of the response arrived. It is zero if the request
+	// spent further round trips on a new connection or on leave to send its body.
+	HeadAt time.Time
 }
 
 // OK reports whether the response was forwarded completely.
@@ -114,10 +119,15 @@
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
+	var t time.Time
+	if h.Now != nil && s.reused && !b.isLarge() {
+		t = h.Now()
+	}
 	f := h.handleResponse(w, r, p, b, s)
 	if f.Code == result.WrongAnswer {
 		s.retire()
 	}
+	f.HeadAt = t
 	return f, false
 }
 
--- /dev/null
+++ b/link/export_test.go
@@ -0,0 +1,4 @@
+package link
+
+// Origin is the time from which windows of a Transit count.
+var Origin = origin
--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -13,13 +13,15 @@
 	f.Add("0 9223372036854775807 9223372036854775807")
 	f.Add("-1 -1 -1")
 	f.Add("1 2 3 4500 6")
+	f.Add("1 2 3 4500 6 7")
+	f.Add("1 2 3 0 0 -7")
 	f.Add("1 2 3 9223372036854775807 -6")
 	f.Fuzz(func(t *testing.T, s string) {
 		l, ok := link.ParseLoad(s)
 		if !ok {
 			return
 		}
-		if l.InFlight < 0 || l.Hold < 0 || l.Work < 0 || l.RateLimit < 0 || l.Wait < 0 {
+		if l.InFlight < 0 || l.Hold < 0 || l.Work < 0 || l.RateLimit < 0 || l.Wait < 0 || l.Took < 0 {
 			t.Fatalf("%q became %+v", s, l)
 		}
 		if again, _ := link.ParseLoad(l.String()); again != l {
--- a/link/peer.go
+++ b/link/peer.go
@@ -40,22 +40,30 @@
 
 	RateLimit float64       // requests per second that the worker takes, 0 if it states no limit
 	Wait      time.Duration // until the rate limit admits one more request
+
+	Took time.Duration // from the read of the request to the head of the answer that bears the report, 0 if unknown
 }
 
 // String returns the load in the format of the load header of a response: the
 // requests in flight, and the mean service times in microseconds of all requests
-// and of those of the response's kind. If there is a rate limit, it in
-// thousandths of a request per second and the wait in microseconds follow.
+// and of those of the response's kind. The rate limit in thousandths of a request
+// per second and the wait in microseconds follow if there is one or the time taken
+// is known, which comes last, in microseconds. Daemons of an older build ignore that
+// time, and with it the wait.
 func (l Load) String() string {
 	s := fmt.Sprintf("%d %d %d", l.InFlight, l.Hold.Microseconds(), l.Work.Microseconds())
-	if l.RateLimit > 0 {
+	if l.RateLimit > 0 || l.Took > 0 {
 		s += fmt.Sprintf(" %d %d", milliRate(l.RateLimit), l.Wait.Microseconds())
 	}
+	if l.Took > 0 {
+		s += fmt.Sprintf(" %d", l.Took.Microseconds())
+	}
 	return s
 }
 
 // ParseLoad parses a load in the format of Load.String and reports whether s holds
-// one. A service time, rate limit or wait that is missing or malformed becomes 0.
+// one. A service time, rate limit, wait or time taken that is missing or malformed
+// becomes 0.
 func ParseLoad(s string) (Load, bool) {
 	a, rest, _ := strings.Cut(s, " ")
 	n, err := strconv.Atoi(a)
@@ -65,7 +73,9 @@
 	b, rest, _ := strings.Cut(rest, " ")
 	c, rest, _ := strings.Cut(rest, " ")
 	l := Load{InFlight: n, Hold: parseMicros(b), Work: parseMicros(c)}
-	if d, e, ok := strings.Cut(rest, " "); ok {
+	if d, rest, ok := strings.Cut(rest, " "); ok {
+		e, g, _ := strings.Cut(rest, " ")
+		l.Took = parseMicros(g)
 		if l.RateLimit = parseRate(d); l.RateLimit > 0 {
 			l.Wait = parseMicros(e)
 		}
@@ -123,6 +133,8 @@
 	admittedFrom      Moment       // when the rate limit is expected to admit the next request
 	ejectedUntil      Moment
 	kinds             sync.Map // of *kindStats, by kind of request
+
+	Transit Transit // of this daemon's requests to the instance
 }
 
 // kindStats is the last reported service time of requests of one kind at an
