--- a/link/peer.go
+++ b/link/peer.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -51,16 +50,23 @@
 // is known, which comes last, in microseconds. Daemons of an older build ignore that
 // time, and with it the wait.
 func (l Load) String() string {
-	s := fmt.Sprintf("%d %d %d", l.InFlight, l.Hold.Microseconds(), l.Work.Microseconds())
+	b := make([]byte, 0, loadTextBytes)
+	b = strconv.AppendInt(b, int64(l.InFlight), 10)
+	b = appendField(appendField(b, l.Hold.Microseconds()), l.Work.Microseconds())
 	if l.RateLimit > 0 || l.Took > 0 {
-		s += fmt.Sprintf(" %d %d", milliRate(l.RateLimit), l.Wait.Microseconds())
+		b = appendField(appendField(b, milliRate(l.RateLimit)), l.Wait.Microseconds())
 	}
 	if l.Took > 0 {
-		s += fmt.Sprintf(" %d", l.Took.Microseconds())
+		b = appendField(b, l.Took.Microseconds())
 	}
-	return s
+	return string(b)
 }
 
+// loadTextBytes is enough for the text of most load reports, in bytes.
+const loadTextBytes = 64
+
+func appendField(b []byte, n int64) []byte { return strconv.AppendInt(append(b, ' '), n, 10) }
+
 // ParseLoad parses a load in the format of Load.String and reports whether s holds
 // one. A service time, rate limit, wait or time taken that is missing or malformed
 // becomes 0.
