link: let the transit time follow a queue that grows

The newest window of 250 ms that has two samples counts now; with fewer, older ones up to a second count too.

--- a/link/transit.go
+++ b/link/transit.go
@@ -7,9 +7,11 @@
 
 const (
 	// transitWindow is the length of the windows over which a transit time is a
-	// minimum. A time counts for one to two windows, so that an instance that gets
-	// no request because of it is tried again soon.
-	transitWindow = 500 * time.Millisecond
+	// minimum.
+	transitWindow = 250 * time.Millisecond
+	// transitWindows is the number of windows after which a transit time no longer
+	// counts, so that an instance that gets no request because of it is tried again.
+	transitWindows = 4
 	// transitSamplesMin is the number of samples from which a transit time is
 	// known: one alone may be that of a lost packet.
 	transitSamplesMin = 2
@@ -26,15 +28,16 @@
 
 // Transit estimates the time that a request and the head of its answer spend
 // between two daemons, as the minimum of the last samples: a queue on the way that
-// lasts delays all of them. The zero value is ready to use and safe for concurrent
-// use.
-type Transit struct{ windows [2]atomic.Uint64 }
+// lasts delays all of them. The newest window with samples enough counts, so that the
+// estimate follows a queue that grows. The zero value is ready to use and safe for
+// concurrent use.
+type Transit struct{ windows [transitWindows]atomic.Uint64 }
 
 // Observe adds the sample d, taken at now.
 func (t *Transit) Observe(d time.Duration, now time.Time) {
 	w := windowOf(now)
 	us := uint64(min(max(0, d), transitMax).Microseconds())
-	s := &t.windows[w%2]
+	s := &t.windows[w%transitWindows]
 	for {
 		o := s.Load()
 		v, n, m := unpackWindow(o)
@@ -56,19 +59,20 @@
 // Estimate returns the transit time at now, 0 if it is unknown.
 func (t *Transit) Estimate(now time.Time) time.Duration {
 	w := windowOf(now)
-	var count uint64
-	least := uint64(transitMax.Microseconds())
-	for i := range t.windows {
-		v, n, m := unpackWindow(t.windows[i].Load())
-		if n > 0 && w-v <= 1 {
-			count += n
-			least = min(least, m)
+	var count, least uint64
+	for i := range uint32(transitWindows) {
+		v, n, m := unpackWindow(t.windows[(w-i)%transitWindows].Load())
+		if n == 0 || v != w-i {
+			continue
+		}
+		if count == 0 || m < least {
+			least = m
+		}
+		if count += n; count >= transitSamplesMin {
+			return time.Duration(least) * time.Microsecond
 		}
 	}
-	if count < transitSamplesMin {
-		return 0
-	}
-	return time.Duration(least) * time.Microsecond
+	return 0
 }
 
 // windowOf returns the number of the window that holds now.
