--- a/caller/handler.go
+++ b/caller/handler.go
@@ -124,9 +124,10 @@
 	}
 	if f.Begun && !f.OK() {
 		p.reach(stageFailed, f.Code.String()+" "+f.Text)
+		resetOldCaller(w, r)
 	}
 	finish(w, f, h.retryAfter(c, f))
-	p.answer(c.body.Unfinished())
+	endAnswer(w, p, c.body, h.Now())
 }
 
 // answer selects the route of the request and makes its attempts.
