caller: linger where net/http closes under a caller that is sending

What callers saw: a caller with more than 256 KB to send on a route that had just been removed, or with a body above the limit, got 404 or 413 and was reset half a second later, while it was still sending.

For these, net/http ends the writing side and sleeps for 500 ms, in which it reads nothing; then its close resets the connection.

Connection now lingers also after net/http has ended the writing side, until the same second after the answer. Not changed: net/http reads up to 256 KB of a body in chunks before it writes such an answer, so that a caller who stalls gets it late.

The test of early answers has a small send buffer too, and shares its steps with the new test; it checks what it did.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -192,6 +192,7 @@
 // CloseWrite closes the writing side of the connection. net/http calls it before
 // it closes a connection on which the caller may still be sending.
 func (c *Connection) CloseWrite() error {
+	c.progress.endWrite()
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -43,7 +43,8 @@
 	stage        stage
 	reason       string    // why the connection will end
 	unfinished   bool      // whether the answer was complete before the request
-	lingerEnd    time.Time // see lingerUntil
+	answeredAt   time.Time // zero once a Close lingers
+	writeEnded   bool      // whether net/http has ended the writing side
 	callerLeft   bool
 	ended        bool // whether the end was reported or is none to report
 	requestBytes int64
@@ -82,24 +83,29 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stage, p.unfinished = stageAnswered, unfinished
-	if unfinished {
-		p.lingerEnd = now.Add(lingerTimeMax)
-	}
+	p.stage, p.unfinished, p.answeredAt = stageAnswered, unfinished, now
+}
+
+// endWrite records that net/http has ended the writing side, because it knows that
+// the caller is still sending.
+func (p *progress) endWrite() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writeEnded = true
 }
 
 // lingerUntil returns the time until which the connection is to be read from before
-// it is closed, to the first Close of one on which part of an answered request is
-// unread. Otherwise it returns zero.
+// it is closed. It returns zero, except to the first Close of one on which part of an
+// answered request is unread.
 func (p *progress) lingerUntil() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.lingerEnd
-	p.lingerEnd = time.Time{}
-	if p.callerLeft {
+	t := p.answeredAt
+	if t.IsZero() || p.callerLeft || !p.unfinished && !p.writeEnded {
 		return time.Time{}
 	}
-	return t
+	p.answeredAt = time.Time{}
+	return t.Add(lingerTimeMax)
 }
 
 // read records the result of a read of the connection.
--- a/caller/linger_test.go
+++ b/caller/linger_test.go
@@ -25,8 +25,8 @@
 )
 
 // uploadHead returns the headers of an upload and its first chunk.
-func uploadHead(chunked bool) string {
-	const head = "POST /once/ HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a1\r\nFigwheel-Service: s\r\nFigwheel-Deadline-Ms: 60000\r\n"
+func uploadHead(path string, chunked bool) string {
+	head := "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nFigwheel-Attempt-Id: a1\r\nFigwheel-Service: s\r\nFigwheel-Deadline-Ms: 60000\r\n"
 	if chunked {
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + uploadChunk(chunked)
 	}
@@ -67,37 +67,51 @@
 					if link {
 						a = e.View().Candidates["s"].Choose(time.Now(), "once", rand.New(rand.NewPCG(1, 1)), nil, 0).Address
 					}
-					k, err := net.Dial("tcp", a)
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer func() { _ = k.Close() }()
-					_ = k.SetDeadline(time.Now().Add(10 * time.Second))
-					_, _ = io.WriteString(k, uploadHead(chunked))
-					b := bufio.NewReader(k)
-					p, err := http.ReadResponse(b, nil)
-					if err != nil {
-						t.Fatal(err)
-					}
-					_, err = io.Copy(io.Discard, p.Body)
-					_ = p.Body.Close()
-					if err != nil || p.StatusCode != c.want || !p.Close {
-						t.Errorf("got %d, closes %t, %v; want %d and true", p.StatusCode, p.Close, err, c.want)
-					}
-					if _, err := b.ReadByte(); !errors.Is(err, io.EOF) {
-						t.Errorf("after the answer: %v, want %v", err, io.EOF)
-					}
-					for i := range chunks - 1 {
-						if _, err := io.WriteString(k, uploadChunk(chunked)); err != nil {
-							t.Fatalf("part %d: %v", i+1, err)
-						}
-					}
+					sendAfterAnswer(t, a, "/once/", chunked, c.want)
 				})
 			}
 		}
 	}
 }
 
+// TestRequestWithoutRouteIsNotResetWhileItIsSent guards against the same for a request that is rejected before its body is used.
+func TestRequestWithoutRouteIsNotResetWhileItIsSent(t *testing.T) {
+	e := platformMeshWithBodyLimit(t, 4<<20, refusingAddress(t))
+	sendAfterAnswer(t, address(e.call), "/none/", false, http.StatusNotFound)
+}
+
+// sendAfterAnswer sends the beginning of an upload to the address, reads the answer and
+// the end of the connection, and then sends the rest.
+func sendAfterAnswer(t *testing.T, a, path string, chunked bool, want int) {
+	t.Helper()
+	k, err := net.Dial("tcp", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = k.Close() }()
+	_ = k.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = k.(*net.TCPConn).SetWriteBuffer(chunkBytes) // so that the daemon has to read
+	_, _ = io.WriteString(k, uploadHead(path, chunked))
+	b := bufio.NewReader(k)
+	p, err := http.ReadResponse(b, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = io.Copy(io.Discard, p.Body)
+	_ = p.Body.Close()
+	if err != nil || p.StatusCode != want || !p.Close {
+		t.Errorf("got %d, closes %t, %v; want %d and true", p.StatusCode, p.Close, err, want)
+	}
+	if _, err := b.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the answer: %v, want %v", err, io.EOF)
+	}
+	for i := range chunks - 1 {
+		if _, err := io.WriteString(k, uploadChunk(chunked)); err != nil {
+			t.Fatalf("part %d: %v", i+1, err)
+		}
+	}
+}
+
 // TestRejectionOfUploadReachesCallerThroughTwoDaemons guards against a rejection that is lost between two daemons, so that the caller does not learn that its request was not run.
 func TestRejectionOfUploadReachesCallerThroughTwoDaemons(t *testing.T) {
 	const uploads, size = 40, 600 << 10
@@ -179,7 +193,7 @@
 						close(closed)
 					}
 				})
-				_, _ = io.WriteString(near, uploadHead(c.chunked))
+				_, _ = io.WriteString(near, uploadHead("/once/", c.chunked))
 				p, err := http.ReadResponse(bufio.NewReader(near), nil)
 				if err != nil {
 					t.Fatal(err)
