--- a/caller/linger_test.go
+++ b/caller/linger_test.go
@@ -144,15 +144,15 @@
 	return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: h, Body: http.NoBody}, nil
 }
 
-// pipeListener is a listener with one connection.
-type pipeListener struct {
+// openListener is a listener with one connection.
+type openListener struct {
 	oneConn
 	once   sync.Once
 	closed chan struct{}
 }
 
 // Accept implements net.Listener. After the connection, it waits until it is closed.
-func (l *pipeListener) Accept() (net.Conn, error) {
+func (l *openListener) Accept() (net.Conn, error) {
 	first := false
 	l.once.Do(func() { first = true })
 	if first {
@@ -163,13 +163,13 @@
 }
 
 // Close implements net.Listener.
-func (l *pipeListener) Close() error {
+func (l *openListener) Close() error {
 	close(l.closed)
 	return nil
 }
 
 // Addr implements net.Listener.
-func (l *pipeListener) Addr() net.Addr { return l.conn.LocalAddr() }
+func (l *openListener) Addr() net.Addr { return l.conn.LocalAddr() }
 
 // TestLingeringConnectionEnds guards against a caller that holds a connection, or a daemon that stops, by not sending the rest of its request.
 func TestLingeringConnectionEnds(t *testing.T) {
@@ -229,7 +229,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = s.Serve(caller.Listener{Listener: &pipeListener{oneConn: oneConn{conn: far}, closed: make(chan struct{})}})
+		_ = s.Serve(caller.Listener{Listener: &openListener{oneConn: oneConn{conn: far}, closed: make(chan struct{})}})
 	}()
 	t.Cleanup(func() {
 		_ = near.Close()
