result: say when DeadlineExceeded comes before the deadline

A request that no instance can answer in time, by the transit time alone, is rejected with FW3005 and not run before its deadline has passed.

--- a/result/code.go
+++ b/result/code.go
@@ -138,7 +138,7 @@
 	{NoConfiguration, "NoConfiguration", "The daemon has no configuration yet; the request was not run."},
 	{NoInstance, "NoInstance", "No ready instance of the service is known; the request was not run."},
 	{Overloaded, "Overloaded", "Every slot is taken, or the rate limit of the worker is used up, and the queue is full or too slow; the request was not run."},
-	{DeadlineExceeded, "DeadlineExceeded", "The deadline passed; the outcome header says whether the request may have run."},
+	{DeadlineExceeded, "DeadlineExceeded", "The deadline passed, or would before an answer can arrive; the outcome header says whether the request may have run."},
 	{ConnectFailed, "ConnectFailed", "No connection to the upstream; the request was not run."},
 	{AnswerCut, "AnswerCut", "The answer ended before it was complete; the connection to the caller is closed."},
 	{Leaving, "Leaving", "The upstream is leaving and takes no new requests; the request was not run."},
