caller: send no request whose caller has left

Callers saw: work went on for callers that had left. Requests were sent to workers more than 0.5 s after their callers had closed the connection.

1. net/http watches a connection only once the body has been read. A body in chunks (of any size) or above 512 KB is read only when the worker takes the request, and one that another daemon holds back with Expect: 100-continue is unread while it waits there for the link or for a slot. Such a request keeps its place in the queue after its caller has left and is sent to the worker. The connection is now read ahead while the body is unread, as was done for pipelined requests, so that its end is seen and cancels the request. Bytes are handed out as they come, so a duplex exchange works as before. A connection reads ahead 1 MB at most, and all of them 16 MB; above that each has 4 KB, as before.

A request that is read late, with the end of the stream already behind it, was sent on before net/http's read of that end had run: any request, at a daemon that is short of processor time. Before a request is sent to a worker or to another daemon, the state of the connection is now asked for, which costs one system call and sees an end behind unread bytes too. Where the system cannot tell, the request is sent as before.

Ruled out: requests with a small length that wait at either gate are cancelled by themselves; the close of a link is not late in these tests. The existing tests of the package now use the daemon's listener.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -67,6 +67,8 @@
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
 	s.Config.Protocols = p
+	s.Listener = caller.Listener{Listener: s.Listener}
+	s.Config.ConnContext = caller.ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -4,27 +4,44 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// lookaheadBytesMax limits the bytes of pipelined requests that are read before
-// the current request is answered. The rest is not read until then, so that the
-// caller has to hold it back.
-const lookaheadBytesMax = 4 << 10
+const (
+	// lookaheadBytesMax bounds the bytes that are read ahead on one connection. The
+	// caller has to hold back the rest.
+	lookaheadBytesMax = 1 << 20
+	// lookaheadBytesTotalMax bounds the bytes that are read ahead on all
+	// connections. Above it, a connection reads ahead only lookaheadBytesMin.
+	lookaheadBytesTotalMax = 16 << 20
+	lookaheadBytesMin      = 4 << 10
+	// lookaheadReadBytesMax bounds the bytes of one read.
+	lookaheadReadBytesMax = 32 << 10
+)
+
+// lookaheadBytes is the number of bytes that have been read ahead and not used yet
+// on all connections.
+var lookaheadBytes atomic.Int64
 
 // Connection is the connection of a caller. It detects that the caller has
-// disconnected even while pipelined requests are pending. While net/http serves
-// a request, it detects a disconnect by a read of one byte. The first byte of a
-// pipelined request ends that read: without this type, a later disconnect would
-// not be detected, and the daemon would complete work for a caller that has
-// disconnected.
+// disconnected even while bytes of the caller are pending. While net/http serves
+// a request, it detects a disconnect by a read of one byte, which it starts when
+// the body has been read, and which the first byte of a pipelined request ends.
+// Without this type, a disconnect would not be detected before or after that, and
+// the daemon would complete work for a caller that has disconnected.
 type Connection struct {
 	net.Conn
 	cancelRequests context.CancelFunc // cancels the contexts of the connection's requests
 	progress       progress
-	cut            func(Cut) // see Listener.Cut
+	cut            func(Cut)       // see Listener.Cut
+	raw            syscall.RawConn // nil if there is none
+	checkState     func(fd uintptr)
+	closedByCaller bool // set by checkState; mu is held
 
 	mu            sync.Mutex
 	changed       sync.Cond
@@ -60,17 +77,63 @@
 // connections of a Listener.
 func ConnContext(x context.Context, c net.Conn) context.Context {
 	if k, ok := c.(*Connection); ok {
-		x, k.cancelRequests = context.WithCancel(withProgress(x, &k.progress))
+		x, k.cancelRequests = context.WithCancel(context.WithValue(x, connectionKey{}, k))
 	}
 	return x
 }
 
+// connectionKey is the key of a *Connection in the context of its requests.
+type connectionKey struct{}
+
+// connectionOf returns the connection of r, nil if it was not accepted by a Listener.
+func connectionOf(r *http.Request) *Connection {
+	c, _ := r.Context().Value(connectionKey{}).(*Connection)
+	return c
+}
+
 func newConnection(c net.Conn) *Connection {
 	n := &Connection{Conn: c, cancelRequests: func() {}}
 	n.changed.L = &n.mu
+	if s, ok := c.(syscall.Conn); ok {
+		n.raw, _ = s.SyscallConn() // nil after an error
+	}
+	n.checkState = func(fd uintptr) { n.closedByCaller = isClosedByPeer(int(fd)) }
 	return n
 }
 
+// watch detects a disconnect of the caller of r while the body of r is unread. It
+// reads the body ahead.
+func watch(r *http.Request) {
+	c := connectionOf(r)
+	if c == nil || r.ProtoMajor != 1 { // HTTP/2 connections are read all the time
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lookaheadDone == nil && c.lookaheadErr == nil {
+		c.lookaheadDone = make(chan struct{})
+		go c.readAhead(c.lookaheadDone)
+	}
+}
+
+// cancelIfLeft cancels the requests of the connection of r if the caller has
+// disconnected, even if that is still to be read: the daemon may be late, or bytes
+// that are held back may come first. It is called before r is sent on.
+func cancelIfLeft(r *http.Request) {
+	c := connectionOf(r)
+	if c == nil || c.raw == nil {
+		return
+	}
+	c.mu.Lock()
+	c.closedByCaller = false
+	_ = c.raw.Control(c.checkState) // fails only on a closed connection, whose requests are cancelled
+	left := c.closedByCaller
+	c.mu.Unlock()
+	if left {
+		c.cancelRequests()
+	}
+}
+
 // Read implements net.Conn.
 func (c *Connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -78,6 +141,7 @@
 		if len(c.lookahead) > 0 {
 			n := copy(p, c.lookahead)
 			c.lookahead = c.lookahead[n:]
+			lookaheadBytes.Add(-int64(n))
 			c.changed.Broadcast()
 			c.mu.Unlock()
 			return n, nil
@@ -112,18 +176,19 @@
 // returns.
 func (c *Connection) readAhead(done chan<- struct{}) {
 	defer close(done)
-	b := make([]byte, lookaheadBytesMax)
+	b := make([]byte, lookaheadBytesMin)
 	for {
 		c.mu.Lock()
-		for len(c.lookahead) >= lookaheadBytesMax && c.lookaheadErr == nil {
+		for c.lookaheadRoom() <= 0 && c.lookaheadErr == nil {
 			c.changed.Wait()
 		}
-		room := lookaheadBytesMax - len(c.lookahead)
+		room := min(max(c.lookaheadRoom(), 1), len(b))
 		c.mu.Unlock()
 		n, err := c.Conn.Read(b[:room])
 		c.progress.read(n, err)
 		c.mu.Lock()
 		c.lookahead = append(c.lookahead, b[:n]...)
+		lookaheadBytes.Add(int64(n))
 		// The deadline may have been replaced since the read timed out.
 		timeout := errors.Is(err, os.ErrDeadlineExceeded)
 		if timeout && !c.deadlinePassed(time.Now()) {
@@ -145,9 +210,20 @@
 		if err != nil {
 			return
 		}
+		if n == len(b) && n < lookaheadReadBytesMax {
+			b = make([]byte, 2*n)
+		}
 	}
 }
 
+// lookaheadRoom returns how many more bytes may be read ahead.
+func (c *Connection) lookaheadRoom() int {
+	if lookaheadBytes.Load() >= lookaheadBytesTotalMax {
+		return lookaheadBytesMin - len(c.lookahead)
+	}
+	return lookaheadBytesMax - len(c.lookahead)
+}
+
 // deadlinePassed reports whether the read deadline has passed at the time now.
 func (c *Connection) deadlinePassed(now time.Time) bool {
 	return !c.readDeadline.IsZero() && !now.Before(c.readDeadline)
@@ -196,7 +272,6 @@
 	c.report(c.progress.close(unread))
 	c.mu.Lock()
 	done := c.lookaheadDone
-	c.lookahead = nil
 	if c.lookaheadErr == nil {
 		c.lookaheadErr = net.ErrClosed
 	}
@@ -206,5 +281,9 @@
 	if done != nil {
 		<-done
 	}
+	c.mu.Lock()
+	lookaheadBytes.Add(-int64(len(c.lookahead)))
+	c.lookahead = nil
+	c.mu.Unlock()
 	return err
 }
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -173,20 +172,12 @@
 	return n > 0
 }
 
-// progressKey is the key of a connection's *progress in the context of its requests.
-type progressKey struct{}
-
 // progressOf returns the progress of the connection of r, nil if it is not tracked.
 // A connection of HTTP/2 is not: it carries many requests at a time.
 func progressOf(r *http.Request) *progress {
-	if r.ProtoMajor != 1 {
+	c := connectionOf(r)
+	if c == nil || r.ProtoMajor != 1 {
 		return nil
 	}
-	p, _ := r.Context().Value(progressKey{}).(*progress)
-	return p
-}
-
-// withProgress returns x with the progress p.
-func withProgress(x context.Context, p *progress) context.Context {
-	return context.WithValue(x, progressKey{}, p)
+	return &c.progress
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -194,6 +194,9 @@
 	if err := c.body.Load(x); err != nil {
 		return hop.NotRun(result.CallerGone, err.Error()).At(hop.StageBody, h.Now().Sub(now))
 	}
+	if c.body.IsUnread() {
+		watch(r)
+	}
 	if h.rejectSuspect(c, r, now) {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
@@ -324,13 +327,14 @@
 	if k.Local {
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
-		f := h.Worker.Serve(y, w, r, now, upstream.Request{AdmissionRequest: c.admission, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.workerHeaders, Now: h.Now, Crashes: c.crashes})
+		f := h.Worker.Serve(y, w, r, now, upstream.Request{AdmissionRequest: c.admission, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.workerHeaders, Now: h.Now, Crashes: c.crashes, CancelIfLeft: func() { cancelIfLeft(r) }})
 		now = h.Now()
 		k.Peer.End(h.Worker.Load(now, c.admission.Kind).String(), c.admission.Kind, now)
 		c.countCrash(f)
 		return f
 	}
 	sent := now
+	cancelIfLeft(r)
 	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now)}
 	f := p.Do(x, w, r, c.body)
 	now = h.Now()
--- a/caller/link.go
+++ b/caller/link.go
@@ -63,6 +63,9 @@
 	}
 	w.Header()["Date"] = nil // not used between daemons
 	b := hop.NewBody(w, r)
+	if b.IsUnread() {
+		watch(r)
+	}
 	t := h.Now()
 	f := h.serve(w, r, b, t)
 	h.recordAbandoned(r, f, t)
@@ -118,6 +121,7 @@
 		Body:             b,
 		Now:              h.Now,
 		Before:           func(a http.Header) { h.addLoad(a, r) },
+		CancelIfLeft:     func() { cancelIfLeft(r) },
 	}
 	q.Crashes, _ = strconv.Atoi(r.Header.Get(contract.CrashesHeader)) // 0 without the header, as in most requests
 	// A request without a readable rank is treated as one of the least important.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -117,6 +117,13 @@
 	return s.serve(l, caller.Listener{Listener: l, Cut: s.daemon.recordCut}, h, caller.ConnContext)
 }
 
+// startLinkListener starts a server like start, for the address that other daemons
+// use.
+func (s *servers) startLinkListener(a net.Listener, h http.Handler) *server {
+	l := newDrainingListener(a)
+	return s.serve(l, caller.Listener{Listener: l}, h, caller.ConnContext)
+}
+
 // start starts a server that serves the connections of a with h.
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
@@ -176,7 +183,7 @@
 	e := d.edge.Headers
 	s.work = []*server{
 		s.startCallListener(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}),
-		s.start(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}),
+		s.startLinkListener(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}),
 	}
 	p := http.NewServeMux()
 	p.Handle(peer.NewHandler(d))
--- a/hop/body.go
+++ b/hop/body.go
@@ -98,6 +98,10 @@
 	return b.length
 }
 
+// IsUnread reports whether the body is read only after the request has waited: it
+// is streamed, or large and still to be buffered.
+func (b *Body) IsUnread() bool { return b.stream != nil || b.UnreadBytes() > 0 }
+
 // isLarge reports whether a daemon must agree to take the body before it is sent.
 func (b *Body) isLarge() bool { return b.length < 0 || b.length >= largeBytesMin }
 
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -168,6 +169,10 @@
 	Now     func() time.Time    // present time, read again after each wait
 	Before  func(h http.Header) // called before the answer begins; may be nil
 
+	// CancelIfLeft cancels the context of the request if its sender has disconnected.
+	// It is called before the request is sent to the worker; may be nil.
+	CancelIfLeft func()
+
 	Crashes int // number of workers that were sent the request before and did not answer
 }
 
@@ -202,6 +207,12 @@
 	if s = k.state.Load(); s.Service != q.Service || !s.acceptsRequests(began) {
 		return hop.NotRun(result.Leaving, "the worker is "+s.State)
 	}
+	if q.CancelIfLeft != nil {
+		q.CancelIfLeft()
+	}
+	if errors.Is(x.Err(), context.Canceled) {
+		return hop.NotRun(result.CallerGone, "its sender left before it was sent to the worker").At(hop.StageQueue, began.Sub(now))
+	}
 	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.headerFields(x, s, q, began), Exchange: k.nextExchange(), Echoes: s.echoesExchange}
 	k.sentCount.Add(1)
 	f := h.Do(x, w, r, q.Body)
