merge: what would be cut off at the end of a drain is rejected

Instances are passed over in one place now, for the time on the way and for the drain. A connection whose next request lies in its lookahead is not closed as idle either.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// hasLookahead reports whether bytes have been read ahead and not returned by Read.
+func (c *Connection) hasLookahead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.lookahead) > 0
+}
+
 // lookaheadRoom returns how many more bytes may be read ahead.
 func (c *Connection) lookaheadRoom() int {
 	if lookaheadBytes.Load() >= lookaheadBytesTotalMax {
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -179,10 +179,13 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// HasUnreadBytes reports whether the receive buffer of c, which may be a
-// *Connection, holds bytes.
+// HasUnreadBytes reports whether bytes have arrived on c that no Read has returned: in
+// its receive buffer or, if it is a *Connection, in its lookahead.
 func HasUnreadBytes(c net.Conn) bool {
 	if k, ok := c.(*Connection); ok {
+		if k.hasLookahead() {
+			return true
+		}
 		c = k.Conn
 	}
 	s, ok := c.(syscall.Conn)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -261,9 +261,9 @@
 	var last *link.Candidate
 	for i := range offersMax {
 		now := h.Now()
-		k, late := h.choose(l, c, now)
-		if late && f.Code == result.NoInstance {
-			f = hop.NotRun(result.DeadlineExceeded, "no answer can come in time")
+		k, passed := h.choose(l, c, now)
+		if passed.Code != 0 && f.Code == result.NoInstance {
+			f = passed
 		}
 		if k == nil && !mayWait && f.Code == result.Overloaded {
 			// All instances are full: wait at the one with the lowest expected time.
@@ -288,22 +288,41 @@
 	return f
 }
 
-// choose returns the candidate of l for the next attempt at now, or nil if there is
-// none. It passes over those whose answer cannot arrive in time by their transit
-// time alone; if there is no other, it returns late.
-func (h *Handler) choose(l link.Candidates, c *call, now time.Time) (k *link.Candidate, late bool) {
+// choose returns the candidate of l for the next attempt at now. It passes over those
+// whose answer cannot arrive in time by their transit time alone, and those at which
+// the request would be cut off at the end of a drain of this daemon. If there is no
+// other, it returns nil and why the last of them was passed over.
+func (h *Handler) choose(l link.Candidates, c *call, now time.Time) (*link.Candidate, hop.Result) {
+	d := h.Worker.Drain()
+	var passed hop.Result
 	tried := c.tried
-	for {
-		k = l.Choose(now, c.admission.Kind, c.random, tried, c.otherSiteCost())
+	for range offersMax {
+		k := l.Choose(now, c.admission.Kind, c.random, tried, c.otherSiteCost())
 		if k == nil {
-			return nil, late
+			break
 		}
-		if d := h.transitTime(k, now); d == 0 || c.deadline.Sub(now)-d >= attemptTimeMin {
-			return k, false
+		passed = h.passOver(l, c, k, d, now)
+		if passed.Code == 0 {
+			return k, passed
 		}
-		late = true
 		tried = append(slices.Clip(tried), k.Name)
 	}
+	return nil, passed
+}
+
+// passOver returns why the candidate k is not tried at now while this daemon drains by
+// d, or a zero Result if it is.
+func (h *Handler) passOver(l link.Candidates, c *call, k *link.Candidate, d contract.Drain, now time.Time) hop.Result {
+	if t := h.transitTime(k, now); t > 0 && c.deadline.Sub(now)-t < attemptTimeMin {
+		return hop.NotRun(result.DeadlineExceeded, "no answer can come in time")
+	}
+	if d.End.IsZero() {
+		return hop.Result{}
+	}
+	if e := l.ExpectedTime(k, c.admission.Kind, now); !d.Allows(now, c.deadline, e) {
+		return hop.NotRun(result.Leaving, d.Text(now, e))
+	}
+	return hop.Result{}
 }
 
 // transitTime returns the time that a request to k and the head of its answer are
@@ -380,8 +399,10 @@
 	}
 	sent := now
 	cancelIfLeft(r)
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(h.transitTime(k, now))), Now: h.Now}
-	f := p.Do(x, w, r, c.body)
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(h.transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
+	y, stop := h.untilWaitsEnd(x, c.body)
+	defer stop()
+	f := p.Do(y, w, r, c.body)
 	now = h.Now()
 	f = f.At(hop.StageLink, now.Sub(sent))
 	k.Peer.End(f.Load, c.admission.Kind, now)
@@ -398,9 +419,31 @@
 	if f.Age != "" {
 		h.Daemon.ObserveConfirmation(f.Release, f.Age, sent)
 	}
+	if f.Code == result.CallerGone && f.Outcome == contract.NotRun && x.Err() == nil {
+		f.Code, f.Text = result.Leaving, "the daemon stops, and "+k.Name+" has not asked for the body"
+	}
 	return f
 }
 
+// untilWaitsEnd returns a context for sending a request with the body b to another
+// daemon. If that has not asked for a large body by the time at which this daemon
+// gives up what waits, the context is cancelled: the request has not run.
+func (h *Handler) untilWaitsEnd(x context.Context, b *hop.Body) (context.Context, func()) {
+	if !b.Withheld() {
+		return x, func() {}
+	}
+	y, cancel := context.WithCancel(x)
+	stop := context.AfterFunc(h.Worker.Waits(), func() {
+		if b.Withheld() {
+			cancel()
+		}
+	})
+	return y, func() {
+		stop()
+		cancel()
+	}
+}
+
 // countCrash counts a worker that ended the connection without an answer: the
 // request may have crashed it.
 func (c *call) countCrash(f hop.Result) {
@@ -413,10 +456,10 @@
 // then the membership protocol has detected whether it failed.
 const ejectTime = 2 * time.Second
 
-// attemptHeaders returns the headers of an attempt at another daemon. The time that
-// it may take there counts from the time t: when it is sent, and later by its transit
-// time, which the other daemon does not know.
-func (c *call) attemptHeaders(t time.Time) []hop.Field {
+// attemptHeaders returns the headers of an attempt at another daemon, while this one
+// drains by d. The time that it may take there counts from the time t: when it is sent,
+// and later by its transit time, which the other daemon does not know.
+func (c *call) attemptHeaders(t time.Time, d contract.Drain) []hop.Field {
 	l := append(make([]hop.Field, 0, len(c.linkHeaders)+3), c.linkHeaders...)
 	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.RemainingMs(t, c.deadline)})
 	if !c.admission.Goal.IsZero() {
@@ -425,8 +468,11 @@
 	if c.crashes > 0 {
 		l = append(l, hop.Field{Name: contract.CrashesHeader, Value: strconv.Itoa(c.crashes)})
 	}
-	if c.admission.NoWait {
+	switch {
+	case c.admission.NoWait:
 		l = append(l, hop.Field{Name: contract.QueueHeader, Value: "no"})
+	case !d.End.IsZero():
+		l = append(l, hop.Field{Name: contract.QueueHeader, Value: contract.RemainingMs(t, d.WaitEnd())})
 	}
 	return l
 }
