link: measure the time on the way for each instance alone

What callers would see: while one instance is slow or has just been paused, requests to all others are rejected unsent as FW3005, or get less time than they have; this goes on as long as requests to the slow one do. Rejected requests give no samples that would correct it.

Cause: took one estimate for all instances, for a queue in the daemon's own link, and the newest quarter of a second with two samples, whichever instance they came from.

After a pause of 2 s, two answers that were read together set the estimate to 2 s for a second.

Each instance has an estimate of its own now: the minimum of the last second, if there are samples in two windows of it. Answers that are read together are in one window, and a single near sample ends a queue that has gone. A queue in the own link is seen by the samples of each instance.

Tests: TestSlowLinkTakesNoTimeFromOtherInstances is new; the table of TestLostPacketIsNoTransit follows the windows and has the pause. fill spreads its calls over two windows; what TestSlowLinkOutlivesNoDeadline demands is unchanged.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -80,8 +80,7 @@
 	Headers   contract.Headers // names of the headers that callers use
 	Origin    string           // service of the worker of this daemon
 
-	budgets sync.Map     // of *contract.Budget, by service
-	transit link.Transit // of requests to all other daemons: of the link of this one
+	budgets sync.Map // of *contract.Budget, by service
 }
 
 // call is the state of one request while it is served.
@@ -301,7 +300,7 @@
 		if k == nil {
 			break
 		}
-		passed = h.passOver(l, c, k, d, now)
+		passed = passOver(l, c, k, d, now)
 		if passed.Code == 0 {
 			return k, passed
 		}
@@ -312,8 +311,8 @@
 
 // passOver returns why the candidate k is not tried at now while this daemon drains by
 // d, or a zero Result if it is.
-func (h *Handler) passOver(l link.Candidates, c *call, k *link.Candidate, d contract.Drain, now time.Time) hop.Result {
-	if t := h.transitTime(k, now); t > 0 && c.deadline.Sub(now)-t < attemptTimeMin {
+func passOver(l link.Candidates, c *call, k *link.Candidate, d contract.Drain, now time.Time) hop.Result {
+	if t := transitTime(k, now); t > 0 && c.deadline.Sub(now)-t < attemptTimeMin {
 		return hop.NotRun(result.DeadlineExceeded, "no answer can come in time")
 	}
 	if d.End.IsZero() {
@@ -326,25 +325,22 @@
 }
 
 // transitTime returns the time that a request to k and the head of its answer are
-// expected to spend on the way, 0 if it is unknown. A queue in the link of this
-// daemon delays the requests to all others, one in the link of k those to k.
-func (h *Handler) transitTime(k *link.Candidate, now time.Time) time.Duration {
+// expected to spend on the way, 0 if it is unknown.
+func transitTime(k *link.Candidate, now time.Time) time.Duration {
 	if k.Local {
 		return 0
 	}
-	return max(h.transit.Estimate(now), k.Peer.Transit.Estimate(now))
+	return k.Peer.Transit.Estimate(now)
 }
 
 // observeTransit records the transit time of a request that was sent to k at the
 // time sent and has the result f.
-func (h *Handler) observeTransit(k *link.Candidate, f hop.Result, sent time.Time) {
+func observeTransit(k *link.Candidate, f hop.Result, sent time.Time) {
 	l, ok := link.ParseLoad(f.Load)
 	if !ok || l.Took == 0 || f.HeadAt.IsZero() {
 		return
 	}
-	d := f.HeadAt.Sub(sent) - l.Took
-	k.Peer.Transit.Observe(d, f.HeadAt)
-	h.transit.Observe(d, f.HeadAt)
+	k.Peer.Transit.Observe(f.HeadAt.Sub(sent)-l.Took, f.HeadAt)
 }
 
 // mayRetry reports whether to make another attempt after one with the result f.
@@ -399,14 +395,14 @@
 	}
 	sent := now
 	cancelIfLeft(r)
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(h.transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
 	y, stop := h.untilWaitsEnd(x, c.body)
 	defer stop()
 	f := p.Do(y, w, r, c.body)
 	now = h.Now()
 	f = f.At(hop.StageLink, now.Sub(sent))
 	k.Peer.End(f.Load, c.admission.Kind, now)
-	h.observeTransit(k, f, sent)
+	observeTransit(k, f, sent)
 	if f.Load == "" && f.Code != 0 && f.Code != result.CallerGone && f.Code != result.DeadlineExceeded {
 		k.Peer.Eject(now.Add(ejectTime))
 	}
--- a/link/transit.go
+++ b/link/transit.go
@@ -9,27 +9,28 @@
 	// transitWindow is the length of the windows over which a transit time is a
 	// minimum.
 	transitWindow = 250 * time.Millisecond
-	// transitWindows is the number of windows after which a transit time no longer
-	// counts, so that an instance that gets no request because of it is tried again.
+	// transitWindows is the number of windows after which a sample no longer counts,
+	// so that an instance that gets no request because of it is tried again.
 	transitWindows = 4
-	// transitSamplesMin is the number of samples from which a transit time is
-	// known: one alone may be that of a lost packet.
-	transitSamplesMin = 2
+	// transitWindowsMin is the number of windows with samples from which a transit
+	// time is known: after a pause of this process, answers that have waited for it
+	// are read within one.
+	transitWindowsMin = 2
 	// transitMax bounds a transit time so that it fits into transitMicrosBits.
 	transitMax = 10 * time.Minute
 )
 
-// The parts of a window in a Transit, from the highest bit: its number, the count of
-// its samples up to transitSamplesMin, and their minimum in microseconds.
+// The parts of a window in a Transit, from the highest bit: its number, whether it has
+// samples, and their minimum in microseconds.
 const (
 	transitMicrosBits = 30
-	transitCountBits  = 2
+	transitSampledBit = 1 << transitMicrosBits
+	transitNumberBit  = transitMicrosBits + 2
 )
 
 // Transit estimates the time that a request and the head of its answer spend
-// between two daemons, as the minimum of the last samples: a queue on the way that
-// lasts delays all of them. The newest window with samples enough counts, so that the
-// estimate follows a queue that grows. The zero value is ready to use and safe for
+// between two daemons, as the minimum of the samples of the last second: a queue on the
+// way that lasts delays all of them. The zero value is ready to use and safe for
 // concurrent use.
 type Transit struct{ windows [transitWindows]atomic.Uint64 }
 
@@ -40,16 +41,14 @@
 	s := &t.windows[w%transitWindows]
 	for {
 		o := s.Load()
-		v, n, m := unpackWindow(o)
-		switch {
-		case n > 0 && v == w:
-			n, m = n+1, min(m, us)
-		case n > 0 && int32(w-v) < 0:
+		v, sampled, m := unpackWindow(o)
+		if sampled && int32(w-v) < 0 {
 			return // of a window that has passed
-		default:
-			n, m = 1, us
 		}
-		p := uint64(w)<<(transitCountBits+transitMicrosBits) | min(n, transitSamplesMin)<<transitMicrosBits | m
+		if sampled && v == w {
+			us = min(us, m)
+		}
+		p := uint64(w)<<transitNumberBit | transitSampledBit | us
 		if p == o || s.CompareAndSwap(o, p) {
 			return
 		}
@@ -59,25 +58,24 @@
 // Estimate returns the transit time at now, 0 if it is unknown.
 func (t *Transit) Estimate(now time.Time) time.Duration {
 	w := windowOf(now)
-	var count, least uint64
-	for i := range uint32(transitWindows) {
-		v, n, m := unpackWindow(t.windows[(w-i)%transitWindows].Load())
-		if n == 0 || v != w-i {
-			continue
-		}
-		if count == 0 || m < least {
-			least = m
-		}
-		if count += n; count >= transitSamplesMin {
-			return time.Duration(least) * time.Microsecond
+	n := 0
+	least := uint64(transitMax.Microseconds())
+	for i := range t.windows {
+		v, sampled, m := unpackWindow(t.windows[i].Load())
+		if sampled && w-v < transitWindows {
+			n++
+			least = min(least, m)
 		}
 	}
-	return 0
+	if n < transitWindowsMin {
+		return 0
+	}
+	return time.Duration(least) * time.Microsecond
 }
 
 // windowOf returns the number of the window that holds now.
 func windowOf(now time.Time) uint32 { return uint32(int64(instantOf(now)) / int64(transitWindow)) }
 
-func unpackWindow(p uint64) (number uint32, count, micros uint64) {
-	return uint32(p >> (transitCountBits + transitMicrosBits)), p >> transitMicrosBits & (1<<transitCountBits - 1), p & (1<<transitMicrosBits - 1)
+func unpackWindow(p uint64) (number uint32, sampled bool, micros uint64) {
+	return uint32(p >> transitNumberBit), p&transitSampledBit != 0, p & (transitSampledBit - 1)
 }
