--- a/caller/transit_test.go
+++ b/caller/transit_test.go
@@ -115,9 +115,12 @@
 	next.ServeHTTP(w, r)
 }
 
-// newSlowLink returns a link that delays each direction by the time delay to the
-// instance far, and not to the instance near.
-func newSlowLink(t *testing.T, delay time.Duration) *slowLink {
+// slowLinkDelay is the delay of each direction of a slowLink.
+const slowLinkDelay = 400 * time.Millisecond
+
+// newSlowLink returns a link that delays requests to the instance far, and none to the
+// instance near.
+func newSlowLink(t *testing.T) *slowLink {
 	t.Helper()
 	f, p := site.Check(site.Bundle{Base: site.File{Name: "base.yaml", Text: "Organisation: o\nSites: [a]\nServices:\n  far: {Deadline: 10s, Slots: 90, Connections: 90, Queue: 9}\n  near: {Deadline: 10s, Slots: 90, Connections: 90, Queue: 9}\nRoutes:\n  f: {Host: far.example, PathPrefix: /, Service: far}\n  n: {Host: near.example, PathPrefix: /, Service: near}\n"}}, time.Time{})
 	if len(p) > 0 {
@@ -144,7 +147,7 @@
 		_ = server.Serve(q)
 	}()
 	tr := &http.Transport{MaxIdleConnsPerHost: 64, DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
-		d := delay
+		d := slowLinkDelay
 		if address == "near:1" {
 			d = 0
 		}
@@ -212,23 +215,22 @@
 
 // TestSlowLinkOutlivesNoDeadline guards against requests that reach a worker after the deadline of their caller, or with more time than is left, because a link delays them.
 func TestSlowLinkOutlivesNoDeadline(t *testing.T) {
-	const delay = 400 * time.Millisecond
 	for _, limit := range []time.Duration{171 * time.Millisecond, 455 * time.Millisecond, 799 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
 		t.Run(limit.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSlowLink(t, delay)
+				s := newSlowLink(t)
 				s.fill(t)
 				s.fill(t)
 				s.reset()
 				began := time.Now()
 				status, code := s.call(t, limit)
-				time.Sleep(2 * delay) // until a request that was given up would have arrived
+				time.Sleep(2 * slowLinkDelay) // until a request that was given up would have arrived
 				arrivals, limits := s.sentOn()
 				sent := len(arrivals)
-				if limit < 2*delay && (sent > 0 || status != http.StatusServiceUnavailable || code != result.DeadlineExceeded.String()) {
+				if limit < 2*slowLinkDelay && (sent > 0 || status != http.StatusServiceUnavailable || code != result.DeadlineExceeded.String()) {
 					t.Errorf("%d requests were sent on, and the answer was %d %s", sent, status, code)
 				}
-				if limit > 2*delay && sent == 0 {
+				if limit > 2*slowLinkDelay && sent == 0 {
 					t.Errorf("no request was sent on, and the answer was %d %s", status, code)
 				}
 				for i, a := range arrivals {
@@ -244,7 +246,7 @@
 // TestSlowLinkTakesNoTimeFromOtherInstances guards against requests to one instance that are rejected, or sent with less time, because of the way to another one.
 func TestSlowLinkTakesNoTimeFromOtherInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSlowLink(t, 400*time.Millisecond)
+		s := newSlowLink(t)
 		s.callTo(t, "near", time.Second)
 		s.fill(t)
 		s.fill(t)
@@ -262,7 +264,7 @@
 // TestSlowLinkIsTriedAgain guards against a daemon that sends nothing over a link any more because of what it measured before.
 func TestSlowLinkIsTriedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSlowLink(t, 400*time.Millisecond)
+		s := newSlowLink(t)
 		s.fill(t)
 		s.fill(t)
 		s.reset()
@@ -292,7 +294,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSlowLink(t, 400*time.Millisecond)
+				s := newSlowLink(t)
 				s.older = c.older
 				for _, s.bodyBytes = range c.bodyBytes {
 					s.fill(t)
