daemon: close a connection only some time after its last request

What a caller would see: in a planned stop, the second of two pipelined requests gets no answer (LOST), although it has been read.

Cause: net/http may read the next request together with the last one, into a buffer of its own. Between the end of the last and the start of the next it reports the connection as idle, and keptConn has seen no byte of the next since. A drain that looks just then closes the connection; the request is not passed on, since the close cancels it before its handler runs.

TestConnectionStaysOpenRightAfterRequest does not compile before.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -11,6 +11,11 @@
 // After that it counts as idle: callers open connections in advance.
 const newConnectionGrace = time.Second
 
+// idleSettleTime is how long a connection must be idle before it is closed: net/http
+// may have read the next request together with the last one, and begins to serve it
+// only then.
+const idleSettleTime = drainPollInterval
+
 // connections tracks the state of a server's connections, to close the server
 // only when no request is in flight or about to arrive. http.Server.Shutdown does
 // not replace it: it drops, without an answer, every request that the server reads
@@ -54,7 +59,10 @@
 			return false
 		}
 	}
-	for n := range c.states {
+	for n, v := range c.states {
+		if now.Sub(v.since) < idleSettleTime {
+			continue
+		}
 		if k, ok := n.(*keptConn); ok && k.closeUnread() {
 			delete(c.states, n)
 		}
--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -214,6 +214,25 @@
 	}
 }
 
+// TestConnectionStaysOpenRightAfterRequest guards against a close that drops a request which net/http has read together with the one before.
+func TestConnectionStaysOpenRightAfterRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	k := &keptConn{Conn: far}
+	defer func() { _ = k.Close() }()
+	c := &connections{}
+	c.setState(k, http.StateIdle)
+	since := c.states[k].since
+	for _, v := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {idleSettleTime - 1, false}, {idleSettleTime, true}} {
+		if got := c.closeIdle(since.Add(v.after)); got != v.want {
+			t.Errorf("closed after %s: got %t, want %t", v.after, got, v.want)
+		}
+	}
+}
+
 // readConn is a connection whose reads return at once, after release is closed.
 type readConn struct {
 	net.Conn
