caller: release the memory of bytes read ahead once they are used

What callers saw: nothing; the daemon held memory.

Cause: Read cut what it returned from the front of the lookahead, which keeps the whole array as long as the connection, even when nothing is left in it. The bound of 16 MB counted unread bytes, so it did not see this.

TestReadLookaheadHoldsNoMemory printed before the change "16 connections hold 19256 KB, want at most 2048 KB", and 19248 KB with one byte of each unread, which rules out that it is enough to drop an empty lookahead.

The lookahead is now a queue of pieces, one for each read. A piece is released with its last byte, and both bounds count the memory of the pieces instead of the bytes in them, so nothing is held uncounted but the buffer of one read, 4 to 32 KB for a connection, as before. Small reads share a piece of 1 KB at least: TestSmallReadsAheadHoldLittleMemory passed before too, and fails in a trial with a piece for each read.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -13,19 +13,20 @@
 )
 
 const (
-	// lookaheadBytesMax bounds the bytes that are read ahead on one connection. The
-	// caller has to hold back the rest.
+	// lookaheadBytesMax bounds the memory for bytes that are read ahead on one
+	// connection. The caller has to hold back the rest.
 	lookaheadBytesMax = 1 << 20
-	// lookaheadBytesTotalMax bounds the bytes that are read ahead on all
+	// lookaheadBytesTotalMax bounds the memory for bytes that are read ahead on all
 	// connections. Above it, a connection reads ahead only lookaheadBytesMin.
 	lookaheadBytesTotalMax = 16 << 20
 	lookaheadBytesMin      = 4 << 10
 	// lookaheadReadBytesMax bounds the bytes of one read.
 	lookaheadReadBytesMax = 32 << 10
+	// lookaheadPieceBytesMin is the least memory for bytes of one read.
+	lookaheadPieceBytesMin = 1 << 10
 )
 
-// lookaheadBytes is the number of bytes that have been read ahead and not used yet
-// on all connections.
+// lookaheadBytes is the memory in bytes that the lookaheads of all connections hold.
 var lookaheadBytes atomic.Int64
 
 const (
@@ -55,7 +56,7 @@
 	mu            sync.Mutex
 	changed       sync.Cond
 	readDeadline  time.Time     // zero for none
-	lookahead     []byte        // bytes that were read ahead and not returned by Read yet
+	lookahead     lookahead     // bytes that were read ahead and not returned by Read yet
 	lookaheadErr  error         // error that ended the lookahead, not returned by Read yet
 	waitingReads  int           // calls of Read that wait for the lookahead
 	lookaheadDone chan struct{} // closed when the lookahead has ended; nil if none is running
@@ -147,10 +148,8 @@
 func (c *Connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	for {
-		if len(c.lookahead) > 0 {
-			n := copy(p, c.lookahead)
-			c.lookahead = c.lookahead[n:]
-			lookaheadBytes.Add(-int64(n))
+		if !c.lookahead.isEmpty() {
+			n := c.lookahead.take(p)
 			c.changed.Broadcast()
 			c.mu.Unlock()
 			return n, nil
@@ -196,8 +195,7 @@
 		n, err := c.Conn.Read(b[:room])
 		c.progress.read(n, err)
 		c.mu.Lock()
-		c.lookahead = append(c.lookahead, b[:n]...)
-		lookaheadBytes.Add(int64(n))
+		c.lookahead.add(b[:n])
 		// The deadline may have been replaced since the read timed out.
 		timeout := errors.Is(err, os.ErrDeadlineExceeded)
 		if timeout && !c.deadlinePassed(time.Now()) {
@@ -207,7 +205,7 @@
 			c.lookaheadDone = nil
 			// A read deadline applies only to a Read that is waiting for
 			// bytes: a later Read has its own deadline.
-			if !timeout || c.waitingReads > 0 && len(c.lookahead) == 0 {
+			if !timeout || c.waitingReads > 0 && c.lookahead.isEmpty() {
 				c.lookaheadErr = err
 			}
 			if !timeout {
@@ -229,15 +227,15 @@
 func (c *Connection) hasLookahead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.lookahead) > 0
+	return !c.lookahead.isEmpty()
 }
 
 // lookaheadRoom returns how many more bytes may be read ahead.
 func (c *Connection) lookaheadRoom() int {
 	if lookaheadBytes.Load() >= lookaheadBytesTotalMax {
-		return lookaheadBytesMin - len(c.lookahead)
+		return lookaheadBytesMin - c.lookahead.size
 	}
-	return lookaheadBytesMax - len(c.lookahead)
+	return lookaheadBytesMax - c.lookahead.size
 }
 
 // deadlinePassed reports whether the read deadline has passed at the time now.
@@ -317,8 +315,7 @@
 		<-done
 	}
 	c.mu.Lock()
-	lookaheadBytes.Add(-int64(len(c.lookahead)))
-	c.lookahead = nil
+	c.lookahead.release()
 	c.mu.Unlock()
 	return err
 }
