caller: see callers leave while nothing more may be read ahead

What callers saw: while the lookahead of a connection was full, by its own bound or by that of all connections, a caller that had left was noticed only when its request's turn came. The request kept its place in the queue, and the connection its share of the memory. A connection that was held back by the bound of all was also not read on after the others had released theirs.

Cause: without room, the lookahead waited for a Read of its own connection. Neither the end of the connection nor the release by others wakes that wait.

Before the change the tests printed "it is still held back 1 s later" (TestLookaheadGoesOnWhenOthersRelease), "it still waits 2 s after its caller has left" by FIN and by reset, and "its requests are not cancelled 2 s after it has left" in all four cases of TestFullLookaheadSeesCallerLeave.

A lookahead without room now looks every 100 ms whether there is room, and asks the system whether the caller has closed, as is done before a request is sent on. If so, the requests are cancelled and the lookahead ends; later Reads return what it holds and then what the system holds, which the same test checks for a caller that has half-closed. No timer runs while there is room. Where the caller's end has not arrived, because its own bytes wait in front of it, or where the system cannot tell, it is seen late as before.

Ruled out: a Close that waits for such a lookahead. TestCloseEndsFullLookahead passed before and passes now.

go test and go test -race of package caller pass.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +25,9 @@
 	lookaheadReadBytesMax = 32 << 10
 	// lookaheadPieceBytesMin is the least memory for bytes of one read.
 	lookaheadPieceBytesMin = 1 << 10
+	// lookaheadCheckTime is how often a connection that may not read ahead looks
+	// whether it may again, and whether the caller has disconnected.
+	lookaheadCheckTime = 100 * time.Millisecond
 )
 
 // lookaheadBytes is the memory in bytes that the lookaheads of all connections hold.
@@ -135,15 +139,21 @@
 		return
 	}
 	c.mu.Lock()
-	c.closedByCaller = false
-	_ = c.raw.Control(c.checkState) // fails only on a closed connection, whose requests are cancelled
-	left := c.closedByCaller
+	left := c.hasLeft()
 	c.mu.Unlock()
 	if left {
 		c.cancelRequests()
 	}
 }
 
+// hasLeft reports whether the caller has disconnected, even if that is still to be
+// read. c.mu is held, c.raw is not nil.
+func (c *Connection) hasLeft() bool {
+	c.closedByCaller = false
+	_ = c.raw.Control(c.checkState) // fails only on a closed connection, whose requests are cancelled
+	return c.closedByCaller
+}
+
 // Read implements net.Conn.
 func (c *Connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -180,15 +190,20 @@
 	return n, err
 }
 
-// readAhead reads into the lookahead until a read fails, and closes done when it
-// returns.
+// readAhead reads into the lookahead until a read fails, or the caller has disconnected
+// while there is no room: Read then returns the rest. It closes done when it returns.
 func (c *Connection) readAhead(done chan<- struct{}) {
 	defer close(done)
 	b := make([]byte, lookaheadBytesMin)
 	for {
 		c.mu.Lock()
-		for c.lookaheadRoom() <= 0 && c.lookaheadErr == nil {
-			c.changed.Wait()
+		if c.lookaheadRoom() <= 0 && !c.awaitRoom() {
+			c.progress.read(0, io.EOF)
+			c.lookaheadDone = nil
+			c.cancelRequests()
+			c.changed.Broadcast()
+			c.mu.Unlock()
+			return
 		}
 		room := min(max(c.lookaheadRoom(), 1), len(b))
 		c.mu.Unlock()
@@ -223,6 +238,31 @@
 	}
 }
 
+// awaitRoom waits until more may be read ahead or the connection is closed, and returns
+// true, or until the caller has disconnected, and returns false. c.mu is held.
+func (c *Connection) awaitRoom() bool {
+	due := false
+	t := time.AfterFunc(lookaheadCheckTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		due = true
+		c.changed.Broadcast()
+	})
+	defer t.Stop()
+	for c.lookaheadRoom() <= 0 && c.lookaheadErr == nil {
+		c.changed.Wait()
+		if !due {
+			continue
+		}
+		if c.raw != nil && c.hasLeft() {
+			return false
+		}
+		due = false
+		t.Reset(lookaheadCheckTime)
+	}
+	return true
+}
+
 // hasLookahead reports whether bytes have been read ahead and not returned by Read.
 func (c *Connection) hasLookahead() bool {
 	c.mu.Lock()
