caller: test a lookahead that is held back for long

TestLookaheadGoesOnWhenOthersRelease released the memory before the first look for room, so it passed in a trial in which the timer runs only once. It now waits 10 s of the test's own time first, and fails in that trial with "it is still held back 1 s later".

--- a/caller/lookahead_test.go
+++ b/caller/lookahead_test.go
@@ -126,6 +126,7 @@
 			defer close(sent)
 			_, _ = c.near.Write(make([]byte, 100<<10))
 		}()
+		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		select {
 		case <-sent:
