hop: send the head of an answer with the first bytes of its body

What callers saw: after three answers from another daemon whose bodies came 0.4 s after their heads, the fourth request, with 0.5 s, was cut off and got 502. Requests to an instance that serves only such answers (streams, and bodies above 32 KB) lose that time from their deadlines, or are rejected as if no answer could come in time, for a second after each.

Cause: the second daemon wrote the time it took (Load.Took) when the worker's head came, but net/http sends the head only with the first bytes of the body. What the worker takes between the two counted as time on the way, since.

Now the headers are set when the first bytes of an answer that is not buffered have come, and its head is flushed with them. Nothing was sent sooner before.

TestLateBodyIsNoTransit failed before in all three cases: request 4: got {Status:502 Outcome:unknown Code:FW3011 Body: Cut:false} hop, caller, upstream, link and daemon pass.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -164,10 +164,10 @@
 	}
 	k := bufferPool.Get().(*[bufferBytes]byte)
 	defer bufferPool.Put(k)
-	n := 0
+	var n int
+	var err error
 	if h.shouldBuffer(p) {
 		var complete bool
-		var err error
 		n, complete, err = fillBuffer(p.Body, k[:])
 		if err != nil {
 			return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
@@ -176,6 +176,8 @@
 			p.ContentLength = int64(n) // the response is complete, so its length is now known
 			p.Header.Set("Content-Length", strconv.Itoa(n))
 		}
+	} else {
+		n, err = p.Body.Read(k[:]) // the head is sent with these bytes
 	}
 	f.Begun = true
 	if h.Before != nil {
@@ -184,7 +186,7 @@
 	if b.Unfinished() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := forward(w, p, h.Headers, k, n); err != nil {
+	if err := forward(w, p, h.Headers, k, n, err); err != nil {
 		f.Code = result.AnswerCut
 		f.Text = err.Error()
 	}
@@ -308,15 +310,16 @@
 }
 
 // forward copies the response p to w. The first n bytes of the body are already in
-// k. An error means that the response is incomplete: the caller of Do has to close
-// the connection, since the status has been sent.
-func forward(w http.ResponseWriter, p *http.Response, names contract.Headers, k *[bufferBytes]byte, n int) error {
+// k, and err is the error of their read. An error means that the response is
+// incomplete: the caller of Do has to close the connection, since the status has been
+// sent.
+func forward(w http.ResponseWriter, p *http.Response, names contract.Headers, k *[bufferBytes]byte, n int, err error) error {
 	copyHeader(w.Header(), p.Header, names)
 	for t := range p.Trailer {
 		w.Header().Add("Trailer", t)
 	}
 	w.WriteHeader(p.StatusCode)
-	if err := copyBody(w, p, k, n); err != nil {
+	if err := copyBody(w, p, k, n, err); err != nil {
 		return err
 	}
 	for t, v := range p.Trailer {
@@ -330,33 +333,30 @@
 
 var bufferPool = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
-// copyBody copies the body of p to w. It flushes a body of unknown length as it
-// arrives, since its sender may wait for the caller to react to it.
-func copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int) error {
-	stream := p.ContentLength < 0
+// copyBody copies the body of p to w, of which the first n bytes are already in k, and
+// err is the error of their read. It flushes a body of unknown length as it arrives,
+// since its sender may wait for the caller to react to it. The head of a response is
+// flushed with the first bytes: what it says of the time is of their arrival.
+func copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int, err error) error {
 	c := http.NewResponseController(w)
-	for {
+	for first := true; ; first = false {
 		if n > 0 {
 			if _, err := w.Write(k[:n]); err != nil {
 				return err
 			}
-			if stream {
+			if p.ContentLength < 0 || first && int64(n) < p.ContentLength {
 				if err := c.Flush(); err != nil {
 					return err
 				}
 			}
 		}
-		var err error
-		n, err = p.Body.Read(k[:])
-		if n > 0 {
-			continue
-		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		n, err = p.Body.Read(k[:])
 	}
 }
 
