caller: look beyond eight instances that are passed over

What callers saw: a request is rejected (503, FW3005 or FW3008, not run) although an instance has room, also the worker of the daemon itself, where eight other instances are passed over: because of their transit times, as when the daemon's own link is full, or because of its drain.

Cause: choose made at most offersMax choices, and each instance passed over took one.

Now the second choice is made among the instances that are not passed over (Candidates.ChooseIf).

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -293,18 +293,28 @@
 // other, it returns nil and why the last of them was passed over.
 func (h *Handler) choose(l link.Candidates, c *call, now time.Time) (*link.Candidate, hop.Result) {
 	d := h.Worker.Drain()
-	var passed hop.Result
-	tried := c.tried
-	for range offersMax {
-		k := l.Choose(now, c.admission.Kind, c.random, tried, c.otherSiteCost())
-		if k == nil {
-			break
-		}
-		passed = passOver(l, c, k, d, now)
-		if passed.Code == 0 {
-			return k, passed
+	k := l.Choose(now, c.admission.Kind, c.random, c.tried, c.otherSiteCost())
+	if k == nil {
+		return nil, hop.Result{}
+	}
+	f := passOver(l, c, k, d, now)
+	if f.Code == 0 {
+		return k, f
+	}
+	return chooseOther(l, c, d, now, f)
+}
+
+// chooseOther is choose after the first choice was passed over for the reason passed.
+func chooseOther(l link.Candidates, c *call, d contract.Drain, now time.Time, passed hop.Result) (*link.Candidate, hop.Result) {
+	k := l.ChooseIf(now, c.admission.Kind, c.random, c.tried, c.otherSiteCost(), func(k *link.Candidate) bool {
+		g := passOver(l, c, k, d, now)
+		if g.Code != 0 {
+			passed = g
 		}
-		tried = append(slices.Clip(tried), k.Name)
+		return g.Code == 0
+	})
+	if k != nil {
+		return k, hop.Result{}
 	}
 	return nil, passed
 }
--- a/link/choose.go
+++ b/link/choose.go
@@ -190,7 +190,12 @@
 // candidates of this site and as many of other sites are compared, so that many
 // daemons with the same load reports do not all choose the same one.
 func (c Candidates) Choose(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration) *Candidate {
-	b := choice{now: instantOf(now), kind: kind, far: far, tried: tried, mean: serviceTimeDefault}
+	return c.ChooseIf(now, kind, r, tried, far, func(*Candidate) bool { return true })
+}
+
+// ChooseIf is like Choose, but leaves out the candidates for which usable returns false.
+func (c Candidates) ChooseIf(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration, usable func(k *Candidate) bool) *Candidate {
+	b := choice{now: instantOf(now), kind: kind, far: far, tried: tried, usable: usable, mean: serviceTimeDefault}
 	if h := c.kindServiceTime(kind, b.now); h > 0 {
 		b.mean = time.Duration(unknownTimeFactor * float64(h))
 	}
@@ -206,6 +211,7 @@
 	kind      string
 	mean, far time.Duration
 	tried     []string
+	usable    func(k *Candidate) bool
 	candidate *Candidate
 	cost      time.Duration
 }
@@ -219,7 +225,7 @@
 	first, compared := r.IntN(n), 0
 	for i := range n {
 		k := &l[(first+i)%n]
-		if slices.Contains(b.tried, k.Name) {
+		if slices.Contains(b.tried, k.Name) || !b.usable(k) {
 			continue
 		}
 		if d := k.cost(b.now, b.kind, b.mean, b.far); b.candidate == nil || d < b.cost {
