link: take no pause of the daemon for time on the way

What callers saw: after a pause of the daemon, requests that had less time left than the pause took were rejected as if no answer could come in time, for up to a second.

Cause: a transit time counted as known from samples in two windows of 250 ms. Answers that wait during a pause are read within a few milliseconds after it. If the border of two windows lies between, they give samples in both.

Now the windows are of 125 ms, and at least one lies between the first and the last sample: these are more than 125 ms apart.

The new case of TestLostPacketIsNoTransit failed before: answers_that_are_read_together_after_a_pause,_across_two_windows: got 2s, want 0s All other cases pass unchanged.

--- a/link/transit.go
+++ b/link/transit.go
@@ -8,14 +8,14 @@
 const (
 	// transitWindow is the length of the windows over which a transit time is a
 	// minimum.
-	transitWindow = 250 * time.Millisecond
+	transitWindow = 125 * time.Millisecond
 	// transitWindows is the number of windows after which a sample no longer counts,
 	// so that an instance that gets no request because of it is tried again.
-	transitWindows = 4
-	// transitWindowsMin is the number of windows with samples from which a transit
-	// time is known: after a pause of this process, answers that have waited for it
-	// are read within one.
-	transitWindowsMin = 2
+	transitWindows = 8
+	// transitWindowsApart is how many windows the first and the last sample must lie
+	// apart, so that a transit time is known: after a pause of this process, answers
+	// that have waited for it are read together, in one window or in two that adjoin.
+	transitWindowsApart = 2
 	// transitMax bounds a transit time so that it fits into transitMicrosBits.
 	transitMax = 10 * time.Minute
 )
@@ -58,16 +58,17 @@
 // Estimate returns the transit time at now, 0 if it is unknown.
 func (t *Transit) Estimate(now time.Time) time.Duration {
 	w := windowOf(now)
-	n := 0
+	var oldest uint32 // in windows before w
+	newest := uint32(transitWindows)
 	least := uint64(transitMax.Microseconds())
 	for i := range t.windows {
 		v, sampled, m := unpackWindow(t.windows[i].Load())
-		if sampled && w-v < transitWindows {
-			n++
+		if age := w - v; sampled && age < transitWindows {
+			oldest, newest = max(oldest, age), min(newest, age)
 			least = min(least, m)
 		}
 	}
-	if n < transitWindowsMin {
+	if oldest < newest+transitWindowsApart {
 		return 0
 	}
 	return time.Duration(least) * time.Microsecond
--- a/link/transit_test.go
+++ b/link/transit_test.go
@@ -24,6 +24,7 @@
 		{"one late sample", []sample{{0, s}}, 0, 0},
 		{"one late sample among others", []sample{{0, 4 * ms}, {10 * ms, s}, {250 * ms, 5 * ms}}, 250 * ms, 4 * ms},
 		{"answers that are read together after a pause", []sample{{0, 2 * s}, {0, 2 * s}, {ms, 2 * s}}, ms, 0},
+		{"answers that are read together after a pause, across two windows", []sample{{249 * ms, 2 * s}, {250 * ms, 2 * s}, {260 * ms, 2 * s}}, 260 * ms, 0},
 		{"the first answer after a pause", []sample{{0, 2 * s}, {0, 2 * s}, {300 * ms, ms}}, 300 * ms, ms},
 		{"a queue that lasts", []sample{{0, 600 * ms}, {200 * ms, 500 * ms}, {449 * ms, 700 * ms}}, 449 * ms, 500 * ms},
 		{"a queue that has gone", []sample{{0, 600 * ms}, {250 * ms, 500 * ms}, {260 * ms, ms}}, 260 * ms, ms},
