hop: pass over any number of retired connections

What callers may see: 503 "not run" for requests with a body, and a worker that is taken to have crashed, while it is up and has room.

Cause: a connection that takes no further request stays among the idle ones until a request gets it and fails before anything is written. net/http sends only requests without a body again by itself; for the others Hop.Do takes the next connection, staleConnsMax times. That limit is there for an address that closes its connections; retired ones count as well. The result is ConnectFailed, for which Worker.recordResult calls Unreachable.

The fix: an attempt on a connection that was passed over doesn't count. Each one ends one connection, so that the loop ends.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -107,6 +107,7 @@
 	resent       bool   // whether net/http wanted to resend the request after a write
 	requestID    string // see contract.Headers; empty if the request has none
 	refusedConns int    // connections that were avoided, see mustAvoid
+	passedOver   bool   // whether the last connection takes no further request, or not this one
 }
 
 // withTrace returns x with a trace that calls gotConn.
@@ -131,7 +132,8 @@
 	}
 	s.conn = c
 	s.writesBefore = c.writeCount()
-	if c.retired.Load() || s.mustAvoid(c) {
+	s.passedOver = c.retired.Load() || s.mustAvoid(c)
+	if s.passedOver {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -88,13 +88,16 @@
 func (h Hop) Do(x context.Context, w http.ResponseWriter, r *http.Request, b *Body) Result {
 	var f Result
 	refusedConns := 0
-	for range staleConnsMax {
+	for staleConns := 0; staleConns < staleConnsMax; {
 		s := connTrace{refusedConns: refusedConns}
 		var stale bool
 		if f, stale = h.doOnce(x, w, r, b, &s); !stale || x.Err() != nil {
 			return f
 		}
 		refusedConns = s.refusedConns
+		if !s.passedOver {
+			staleConns++ // a connection that was passed over tells nothing about the address
+		}
 	}
 	return f
 }
--- a/hop/retired_test.go
+++ b/hop/retired_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,3 +68,46 @@
 		}
 	}
 }
+
+// TestRequestPassesManyRetiredConnections guards against a worker that is reported as
+// unreachable because all idle connections to it take no more requests.
+func TestRequestPassesManyRetiredConnections(t *testing.T) {
+	const connections = 32
+	var arrived sync.WaitGroup
+	arrived.Add(connections)
+	a, stop := listen(t, func(c net.Conn) {
+		b := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+			if q.URL.Path == "/wrong" {
+				arrived.Done()
+				arrived.Wait()
+				_, _ = io.WriteString(c, refusal(503, true, "")("other"))
+				continue
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\nContent-Length: 0\r\n\r\n", q.Header.Get("Figwheel-Attempt-Id"))
+		}
+	})
+	defer stop()
+	tr := hop.NewTransport(0, time.Second, time.Minute)
+	defer tr.CloseIdleConnections()
+	h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), HoldBack: true}
+	var g sync.WaitGroup
+	for i := range connections {
+		g.Go(func() {
+			if f, _ := sendTo(t, h, http.MethodGet, fmt.Sprint(i), "/wrong", "", false); f.Code != result.WrongAnswer {
+				t.Errorf("request %d: %+v", i, f)
+			}
+		})
+	}
+	g.Wait()
+	if f, _ := sendTo(t, h, http.MethodPost, "last", "/", "body", false); !f.OK() {
+		t.Errorf("the next request: %+v", f)
+	}
+}
