hop: read a streamed body of any method only when it is asked for

What callers saw: 503 "not run" for GET, HEAD, DELETE and OPTIONS requests with a body in chunks that one daemon or connection did not take, although other instances could; and a worker that is taken to have crashed, while it is up.

Cause: for methods whose requests rarely have a body, net/http reads a byte of one of unknown length before it writes the head, also if the request waits for leave to send the body or its connection takes no more bytes. The body then counts as consumed and the request cannot be sent again: not by Hop.Do after a retired connection, which gives ConnectFailed and calls Unreachable, and not by the handler after a daemon's rejection. The first is more frequent since refusals retire connections.

Evidence: TestStreamedBodyIsReadOnlyWhenAsked failed before for these four methods, with a body and an empty one, in both cases: "DELETE "a body" after a retired connection: {Outcome:not-run Code:FW3006 ...}" and "DELETE "a body" rejected by a daemon: it can be sent again: false"; POST, PUT and PATCH passed.

The fix: the request says itself that its body is sent in chunks, so that net/http need not find out. An empty body in chunks is forwarded as such.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -279,6 +279,10 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
+	if length < 0 {
+		// Otherwise net/http reads of the body, for some methods, before it is asked for.
+		q.TransferEncoding = []string{"chunked"}
+	}
 	copyHeader(q.Header, r.Header, h.Headers)
 	if _, ok := q.Header["User-Agent"]; !ok {
 		q.Header["User-Agent"] = []string{""} // otherwise net/http adds its own
--- a/hop/retired_test.go
+++ b/hop/retired_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"figwheel/contract"
 	"figwheel/hop"
 	"figwheel/platform"
 	"figwheel/result"
@@ -111,3 +114,58 @@
 		t.Errorf("the next request: %+v", f)
 	}
 }
+
+// TestStreamedBodyIsReadOnlyWhenAsked guards against a streamed request that is not sent
+// again after a refusal, because net/http read of its body whether there is one, as it
+// does for methods whose requests rarely have one.
+func TestStreamedBodyIsReadOnlyWhenAsked(t *testing.T) {
+	bodies := make(chan string, 1)
+	a, stop := listen(t, func(c net.Conn) {
+		b := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			id := q.Header.Get("Figwheel-Attempt-Id")
+			switch q.URL.Path {
+			case "/rejected":
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nFigwheel-Code: FW3004\r\nFigwheel-Outcome: not-run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+				return
+			case "/wrong":
+				_, _ = io.WriteString(c, refusal(503, true, "")("other"))
+			default:
+				d, err := io.ReadAll(q.Body)
+				if err != nil {
+					return
+				}
+				bodies <- string(d)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\nContent-Length: 0\r\n\r\n", id)
+			}
+		}
+	})
+	defer stop()
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
+		for _, body := range []string{"a body", ""} {
+			tr := hop.NewTransport(0, time.Second, time.Minute)
+			worker := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), HoldBack: true}
+			daemon := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), Daemon: true}
+			if f, _ := sendTo(t, worker, http.MethodGet, "first", "/wrong", "", false); f.Code != result.WrongAnswer {
+				t.Fatalf("the first request: %+v", f)
+			}
+			if f, _ := sendTo(t, worker, method, "next", "/", body, true); !f.OK() {
+				t.Errorf("%s %q after a retired connection: %+v", method, body, f)
+			} else if d := <-bodies; d != body {
+				t.Errorf("%s: the worker got the body %q, want %q", method, d, body)
+			}
+			r := httptest.NewRequest(method, "http://h.example/rejected", strings.NewReader(body))
+			r.ContentLength = -1
+			w := httptest.NewRecorder()
+			b := hop.NewBody(w, r)
+			if f := daemon.Do(t.Context(), w, r, b); f.Outcome != contract.NotRun || !b.Replayable() {
+				t.Errorf("%s %q rejected by a daemon: it can be sent again: %t; %+v", method, body, b.Replayable(), f)
+			}
+			tr.CloseIdleConnections()
+		}
+	}
+}
