daemon: close idle connections before descriptors run out

Cause: callers' idle connections are kept for two minutes, and nothing bounds their number. net/http waits before it accepts again, and its error log is discarded.

Now idle connections of callers are closed, the longest idle first, when the connections of callers and other daemons are more than three quarters of the descriptors of the process. The rest is for the worker, for requests to other daemons and for control. If an accept fails all the same, on any address, 32 idle connections are closed and FE108 says so, at most once a second and address. A connection is closed only between two requests, as by a drain (closeUnread, idle for 10 ms): a caller whose request crosses the close may send it again, and one that has arrived keeps its connection. Connections are in a list in the order in which they became idle, so that an accept costs no scan; a request costs no allocation for it.

Ruled out: to answer with Connection: close while descriptors are short, as it closes the connections that are in use and leaves those that are not; a shorter idle time-out, as callers use a connection again until the configured one.

The tests failed before (with the listener taken out): TestFailedAcceptsAreLogged: unexpected end of JSON input in the log: TestIdleConnectionsMakeRoomBeforeAcceptFails: closed: got false, want true TestCallerServedWhenIdleConnectionsHoldDescriptors (20.34s): no answer when idle connections hold all descriptors

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -92,6 +92,7 @@
 	daemon  *Daemon
 	work    []*server
 	control []*server
+	idle    idleConnections // of the servers in work
 	group   errgroup.Group
 }
 
@@ -114,7 +115,9 @@
 // daemons send requests. The function cut may be nil, see caller.Listener.
 func (s *servers) startWork(a net.Listener, h http.Handler, cut func(caller.Cut)) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, connContext)
+	c := &connections{}
+	s.idle.add(c)
+	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, c, connContext)
 }
 
 // connContext is caller.ConnContext for connections of a keptListener.
@@ -128,14 +131,13 @@
 // start starts a server that serves the connections of a with h.
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, l, h, nil)
+	return s.serve(l, l, h, &connections{}, nil)
 }
 
-// serve starts a server that serves the connections of o with h. The listener o
-// accepts its connections from l. The function x may be nil, see
+// serve starts a server that serves the connections of o with h and tracks them in c.
+// The listener o accepts its connections from l. The function x may be nil, see
 // http.Server.ConnContext.
-func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, x func(context.Context, net.Conn) context.Context) *server {
-	c := &connections{}
+func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, c *connections, x func(context.Context, net.Conn) context.Context) *server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
@@ -151,7 +153,7 @@
 	}
 	s.group.Go(func() error {
 		defer close(l.acceptEnded)
-		if err := v.Serve(o); !errors.Is(err, http.ErrServerClosed) {
+		if err := v.Serve(&acceptListener{Listener: o, daemon: s.daemon, idle: &s.idle}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -181,6 +183,7 @@
 func (d *Daemon) serve() *servers {
 	t := hop.NewTransport(0, linkDialTimeout, linkIdleTimeout)
 	s := &servers{daemon: d}
+	s.idle.limit = connectionsMax()
 	e := d.edge.Headers
 	s.work = []*server{
 		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut),
--- a/event/event.go
+++ b/event/event.go
@@ -19,6 +19,7 @@
 	Reloaded
 	LinesDropped
 	SettingsRefused
+	AcceptFailed
 )
 
 // Events of changes.
@@ -92,6 +93,7 @@
 	{Reloaded, "Reloaded", slog.LevelInfo, "The settings file has changed; the settings that can change at run time are applied."},
 	{LinesDropped, "LinesDropped", slog.LevelWarn, "Log lines came faster than they could be written and were dropped."},
 	{SettingsRefused, "SettingsRefused", slog.LevelWarn, "The changed settings are invalid; the daemon keeps the previous ones."},
+	{AcceptFailed, "AcceptFailed", slog.LevelWarn, "Connections could not be accepted, mostly because no descriptor was free; Failures is their number at this address since the line before, Closed the number of idle connections that were closed to free descriptors."},
 	{Proposed, "Proposed", slog.LevelInfo, "A change was proposed and is being staged."},
 	{Staged, "Staged", slog.LevelInfo, "This instance compiled a proposed configuration."},
 	{Refused, "Refused", slog.LevelWarn, "A proposed change was refused; nothing changed."},
