daemon: close callers' connections after the configured idle time

What callers saw: idle_timeout_s of the configuration had no effect on their connections, which were closed after two minutes. Callers use a connection again that has been idle for up to four fifths of the configured time, so that above 150 s a close could meet a request.

Cause: limits.idle_timeout_s is decoded into site.Limits, and no one reads it there. http.Server.IdleTimeout is fixed when the server starts, before the first configuration.

Now the daemon itself closes callers' connections that have been idle for the time of the configuration in force, or for two minutes if that sets none. It looks once a second, from the longest idle connection on, and closes a connection only if nothing of a next request has arrived, which net/http does not check. A connection on which a request has begun and stalls before its fourth byte, from where on net/http bounds it, is closed 12 s after the time-out. Connections of other daemons keep two minutes; their side closes them after 30 s.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -21,6 +21,16 @@
 // daemon that is behind has many whose next request has arrived.
 const idleChecksMax = 64
 
+const (
+	// idleCheckInterval is the interval between two looks for connections that have
+	// been idle for too long.
+	idleCheckInterval = time.Second
+	// stalledTime is how long after the idle time-out a connection is closed on which
+	// the next request has begun and its headers are incomplete. net/http bounds that
+	// time by headerTimeout, but only from the fourth byte on.
+	stalledTime = headerTimeout + 2*idleCheckInterval
+)
+
 // connections tracks the state of a server's connections, to close the server
 // only when no request is in flight or about to arrive. http.Server.Shutdown does
 // not replace it: it drops, without an answer, every request that the server reads
@@ -130,6 +140,28 @@
 	return closed
 }
 
+// closeExpired closes the connections that have been between two requests for the time
+// timeout, and those whose next request has begun and stalled.
+func (c *connections) closeExpired(now time.Time, timeout time.Duration) {
+	for c.closeLongestIdle(now, timeout, idleChecksMax) == idleChecksMax {
+		continue
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.idle.Front(); e != nil; {
+		n := e.Value.(net.Conn)
+		e = e.Next()
+		v := c.states[n]
+		if now.Sub(v.since) < timeout+stalledTime {
+			break
+		}
+		if k, ok := n.(*keptConn); ok && v.state == http.StateIdle && k.isReading() {
+			c.remove(n)
+			_ = n.Close()
+		}
+	}
+}
+
 // closeUnread closes the connection n and reports true if nothing of a next request
 // has arrived on it. c.mu is held.
 func (c *connections) closeUnread(n net.Conn) bool {
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -69,6 +69,13 @@
 	c.read, c.nextBegun = c.nextBegun, false
 }
 
+// isReading reports whether bytes of the next request have been read.
+func (c *keptConn) isReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read && !c.multiplexed
+}
+
 // closeUnread closes the connection and reports true if no byte of a next request
 // has been read or has arrived: a close would reset the connection under it. For
 // HTTP/2, whose frames between requests are not told apart from requests, the caller
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -100,6 +101,31 @@
 	*http.Server
 	listener    *drainingListener
 	connections *connections
+	idleTimeout func() time.Duration // of a server in work; nil is the constant idleTimeout
+}
+
+// expireIdle closes connections of the servers in work that have been idle for too
+// long, until x ends. It closes done when it returns. It is not left to
+// http.Server.IdleTimeout, which cannot change while the server runs, and closes a
+// connection also when a request has arrived and was not read.
+func (s *servers) expireIdle(x context.Context, done chan<- struct{}) {
+	defer close(done)
+	for pause(x, idleCheckInterval) {
+		now := time.Now()
+		for _, v := range s.work {
+			t := idleTimeout
+			if v.idleTimeout != nil {
+				t = v.idleTimeout()
+			}
+			v.connections.closeExpired(now, t)
+		}
+	}
+}
+
+// callerIdleTimeout returns how long a caller's connection may be idle: the limit of
+// the configuration, or idleTimeout if that sets none.
+func (d *Daemon) callerIdleTimeout() time.Duration {
+	return cmp.Or(d.View().Snapshot.Limits().IdleTime, idleTimeout)
 }
 
 // finish stops listening, waits until every request is answered, and closes each
@@ -117,7 +143,7 @@
 	l := newDrainingListener(a)
 	c := &connections{}
 	s.idle.add(c)
-	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, c, connContext)
+	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, 0, c, connContext)
 }
 
 // connContext is caller.ConnContext for connections of a keptListener.
@@ -131,13 +157,14 @@
 // start starts a server that serves the connections of a with h.
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, l, h, &connections{}, nil)
+	return s.serve(l, l, h, idleTimeout, &connections{}, nil)
 }
 
 // serve starts a server that serves the connections of o with h and tracks them in c.
-// The listener o accepts its connections from l. The function x may be nil, see
+// The listener o accepts its connections from l. net/http closes a connection that has
+// been idle for the time idle, 0 for none. The function x may be nil, see
 // http.Server.ConnContext.
-func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, c *connections, x func(context.Context, net.Conn) context.Context) *server {
+func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, idle time.Duration, c *connections, x func(context.Context, net.Conn) context.Context) *server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
@@ -145,7 +172,7 @@
 		Handler:           s.daemon.logPanics(h),
 		Protocols:         &p,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       idle,
 		MaxHeaderBytes:    headerBytesMax,
 		ConnState:         c.setState,
 		ConnContext:       x,
@@ -158,7 +185,7 @@
 		}
 		return nil
 	})
-	return &server{v, l, c}
+	return &server{Server: v, listener: l, connections: c}
 }
 
 // logPanics returns a handler that logs panics of h and then aborts the request,
@@ -185,8 +212,10 @@
 	s := &servers{daemon: d}
 	s.idle.limit = connectionsMax()
 	e := d.edge.Headers
+	calls := s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut)
+	calls.idleTimeout = d.callerIdleTimeout
 	s.work = []*server{
-		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut),
+		calls,
 		s.startWork(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}, nil),
 	}
 	p := http.NewServeMux()
@@ -266,6 +295,8 @@
 	c := newControl(y, d)
 	go c.loop(y, done)
 	s := d.serve()
+	expiryEnded := make(chan struct{})
+	go s.expireIdle(y, expiryEnded)
 	d.event(y, event.Started, slog.String("Site", d.settings.Site), slog.String("CallAddress", d.settings.CallAddress), slog.String("OperatorAddress", d.settings.OperatorAddress))
 	select {
 	case <-x.Done():
@@ -274,6 +305,7 @@
 	}
 	stop()
 	<-done
+	<-expiryEnded
 	for _, v := range slices.Concat(s.work, s.control) {
 		_ = v.Close()
 	}
