caller: report a cut request that began before the last answer

What the on-call engineer saw: nothing.

Cause: progress takes bytes for those of the next request only if they are read after the handler has returned. A caller that sends its next request while the last one is served, or between the last byte of an answer and the return of its handler, has its first bytes counted for the answered request. A connection that ends then looks answered. And a byte that was read between the return of the handler and the flush of its answer had the answer counted as one to itself.

Evidence, before the change:

--- FAIL: TestCutReportedWhenRequestBeganBeforeTheLastAnswer (5.00s) cut_test.go:207: no cut was reported

progress now counts the bytes from the first one that net/http reads while it serves a request, and moves on to the next request when net/http asks for more of it: by then the whole answer has been written.

Still unseen: requests that net/http has read in one go with the one before, into its own buffer.

Tests of caller and daemon pass.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -156,12 +156,21 @@
 
 // Read implements net.Conn.
 func (c *Connection) Read(p []byte) (int, error) {
+	// net/http reads a single byte only while it serves a request: the byte
+	// belongs to the next request.
+	next := len(p) == 1
+	if !next {
+		c.progress.awaitNext()
+	}
 	c.mu.Lock()
 	for {
 		if !c.lookahead.isEmpty() {
 			n := c.lookahead.take(p)
 			c.changed.Broadcast()
 			c.mu.Unlock()
+			if next {
+				c.progress.beginNext()
+			}
 			return n, nil
 		}
 		if err := c.lookaheadErr; err != nil {
@@ -179,9 +188,8 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.progress.read(n, err)
-	// net/http reads a single byte only while it serves a request: the byte
-	// belongs to the next request.
-	if n == 1 && len(p) == 1 && err == nil {
+	if n == 1 && next && err == nil {
+		c.progress.beginNext()
 		c.mu.Lock()
 		c.lookaheadDone = make(chan struct{})
 		go c.readAhead(c.lookaheadDone)
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -48,6 +48,8 @@
 	ended        bool // whether the end was reported or is none to report
 	requestBytes int64
 	answerBytes  int64
+	nextBegun    bool  // whether a byte of the request after the current one has been read
+	nextBytes    int64 // bytes that were read since then
 }
 
 // begin records that a handler took the request id.
@@ -60,6 +62,7 @@
 	p.current = Cut{RequestID: id, Version: version, ReadAt: now}
 	p.stage, p.unfinished = stageBody, false
 	p.answerBytes = 0
+	p.nextBegun, p.nextBytes = false, 0
 }
 
 // reach records that the request has got to the stage s, for the given reason if
@@ -107,15 +110,38 @@
 	return t.Add(lingerTimeMax)
 }
 
+// beginNext records that a byte of the next request was read while the current one
+// is served.
+func (p *progress) beginNext() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.nextBegun && p.nextBytes == 0 {
+		p.nextBytes = 1
+	}
+	p.nextBegun = true
+}
+
+// awaitNext records that net/http reads the next request: if the current one is
+// answered, its whole answer has been written.
+func (p *progress) awaitNext() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stage != stageAnswered || p.unfinished {
+		return
+	}
+	p.current, p.stage = Cut{}, stageNone
+	p.requestBytes, p.answerBytes = p.nextBytes, 0
+	p.nextBegun, p.nextBytes = false, 0
+}
+
 // read records the result of a read of the connection.
 func (p *progress) read(n int, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n > 0 && p.stage == stageAnswered && !p.unfinished {
-		p.current, p.stage = Cut{}, stageNone
-		p.requestBytes, p.answerBytes = 0, 0
-	}
 	p.requestBytes += int64(n)
+	if p.nextBegun || p.stage == stageAnswered {
+		p.nextBytes += int64(n)
+	}
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 		return
 	}
--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -130,6 +130,84 @@
 	}
 }
 
+// readSignal is a connection that sends the number of bytes of each read.
+type readSignal struct {
+	net.Conn
+	reads chan<- int
+}
+
+// Read implements net.Conn.
+func (c readSignal) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads <- n
+	}
+	return n, err
+}
+
+// readSignals is a listener whose connections are each a readSignal.
+type readSignals struct {
+	net.Listener
+	reads chan<- int
+}
+
+// Accept implements net.Listener.
+func (l readSignals) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return readSignal{c, l.reads}, err
+}
+
+// TestCutReportedWhenRequestBeganBeforeTheLastAnswer guards against a request whose loss leaves no trace because its first bytes were read while the one before it was served.
+func TestCutReportedWhenRequestBeganBeforeTheLastAnswer(t *testing.T) {
+	const next = "POST /x HTTP/1.1\r\n"
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var runs atomic.Int64
+	reads, mayAnswer := make(chan int, 100), make(chan struct{})
+	m, _ := mesh(t, rawWorker(t, &runs, func(c net.Conn) {
+		<-mayAnswer
+		_, _ = fmt.Fprint(c, answerHead, string(make([]byte, 100)))
+	}))
+	cuts := make(chan caller.Cut, 10)
+	s := &http.Server{Handler: m.call.Config.Handler, ConnContext: caller.ConnContext}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- s.Serve(caller.Listener{Listener: readSignals{n, reads}, Cut: func(c caller.Cut) { cuts <- c }})
+	}()
+	k := sendTo(t, n.Addr().String())
+	<-reads
+	if _, err := io.WriteString(k, next); err != nil {
+		t.Fatal(err)
+	}
+	for got := 0; got < len(next); {
+		got += <-reads
+	}
+	close(mayAnswer)
+	p, err := http.ReadResponse(bufio.NewReader(k), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, p.Body); err != nil {
+		t.Fatal(err)
+	}
+	_ = p.Body.Close()
+	_ = s.Close()
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
+	select {
+	case got := <-cuts:
+		want := caller.Cut{Reason: "closed before the request reached its handler", RequestBytes: int64(len(next))}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("(-want +got)\n%s", d)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no cut was reported")
+	}
+}
+
 // TestNoCutReportedForAnsweredRequestsAndCallersThatLeft guards against reports of
 // connections under which nothing was lost.
 func TestNoCutReportedForAnsweredRequestsAndCallersThatLeft(t *testing.T) {
