hop: answer a caller if the worker's answer ends before its body

What callers saw: a request to a worker whose answer is not buffered (longer than 32 KB, or without a length on our own interface) got neither an answer nor a rejection: its connection was closed when the worker's connection ended, or the deadline passed, between the head of the answer and the first byte of its body.

Cause: the answer to the caller counted as begun with the head, although nothing is written before the first bytes of the body.

Now such an answer counts as lost, like one that ends while it is buffered: the caller gets 502 with the outcome unknown, or the request is sent again if it may run twice.

TestAnswerThatEndsBeforeItsBodyIsFailure failed before in both cases: got {Status:0 Outcome: Code: Body: Cut:true}, want 502 and the outcome unknown 20 runs of it pass, and the tests of caller, hop and upstream.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -179,8 +179,8 @@
 			p.ContentLength = int64(n) // the response is complete, so its length is now known
 			p.Header.Set("Content-Length", strconv.Itoa(n))
 		}
-	} else {
-		n, err = p.Body.Read(k[:]) // the head is sent with these bytes
+	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
+		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
 	f.Begun = true
 	if h.Before != nil {
