caller: let no request wait elsewhere beyond a drain of this daemon

What callers saw: in a planned stop of their daemon, requests that it had sent to another daemon before SIGTERM, and that still waited in the queue there, were cut off at the drain limit without an answer (LOST), although they had not run. So were uploads in chunks and above 512 KB.

Cause: only requests that were sent after SIGTERM carried a limit for their wait (Figwheel-Queue). Only the other daemon knows that a request in its queue has not run, and the daemon that stops cannot ask it.

Each forwarded request now carries a limit: the drain limit of the daemon that sends it, less the time for the answer. Whenever a drain begins, the request has left the queue before the connections of callers are closed, and the answer says that it was not run. This needs no message between daemons, no state about who drains, and is the same rule for all bodies. The header is sent only if the limit ends before the deadline. A request that may not wait until its body was sent has both ("no 4700"), for it waits after the transfer. A request that is expected to wait longer than it may is rejected on arrival. Ruled out: a message that takes requests back (needs the sender's name on each request or a second protocol), and closing the link (proves nothing).

Older daemons read "no 4700" as no limit, and let the request wait.

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -229,3 +231,110 @@
 		}
 	}
 }
+
+// answerTimeout is how long these tests wait for an answer that is due much earlier.
+const answerTimeout = 5 * time.Second
+
+// TestRequestSentBeforeDrainLeavesOtherQueueInTime guards against requests that wait at another daemon when this one begins to stop, and that are cut off without an answer although they have not run.
+func TestRequestSentBeforeDrainLeavesOtherQueueInTime(t *testing.T) {
+	began, release := make(chan struct{}, 4), make(chan struct{})
+	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
+	}))
+	n, o := mesh(t, address(w))
+	n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
+	running := make(chan received, 2)
+	for range 2 {
+		go func() { running <- send(t, request(t, n, "POST", "/once", nil)) }()
+		<-began
+	}
+	const wait = 200 * time.Millisecond
+	n.call.Config.Handler.(*caller.Handler).ForwardedWaitMax = wait
+	for _, c := range []struct {
+		name  string
+		bytes int
+		chunk bool
+	}{{"no body", 0, false}, {"short", 10, false}, {"large", 60 << 10, false}, {"very large", 600 << 10, false}, {"chunks", 60 << 10, true}} {
+		var b io.Reader = strings.NewReader(strings.Repeat("x", c.bytes))
+		if c.chunk {
+			b = struct{ io.Reader }{b}
+		}
+		x, stop := context.WithTimeout(t.Context(), answerTimeout)
+		g := send(t, request(t, n, "POST", "/once", b).WithContext(x))
+		stop()
+		if g.Status != http.StatusServiceUnavailable || g.Outcome != contract.NotRun.String() {
+			t.Errorf("%s: %+v, want 503, not run", c.name, g)
+		}
+	}
+	if k := o[0].worker.InFlight(); k != 2 {
+		t.Errorf("%d requests at the other daemon, want 2", k)
+	}
+	close(release)
+	for range 2 {
+		if g := <-running; g.Status != http.StatusOK {
+			t.Errorf("%+v", g)
+		}
+	}
+}
+
+// TestUploadThatArrivedWaitsNoLongerThanItsSenderLets guards against an upload that was sent to a daemon with a free slot, finds none when its body has arrived, and waits beyond the end of a drain of its sender.
+func TestUploadThatArrivedWaitsNoLongerThanItsSenderLets(t *testing.T) {
+	began, release := make(chan struct{}, 4), make(chan struct{})
+	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
+	}))
+	n, o := mesh(t, address(w))
+	n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
+	running := make(chan received, 2)
+	for range 2 {
+		defer func() { <-running }()
+	}
+	defer close(release)
+	occupy := func() {
+		go func() { running <- send(t, request(t, n, "POST", "/once", nil)) }()
+		<-began
+	}
+	occupy()
+	const size = 60 << 10
+	c := dialRaw(t, o[0].link)
+	_, _ = fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\nExpect: 100-continue\r\n%s: s\r\n%s: no 200\r\n\r\n", size, contract.ServiceHeader, contract.QueueHeader)
+	b := bufio.NewReader(c)
+	if s, err := b.ReadString('\n'); err != nil || !strings.Contains(s, "100 Continue") {
+		t.Fatal(s, err)
+	}
+	_, _ = b.ReadString('\n')
+	occupy()
+	_, _ = io.WriteString(c, strings.Repeat("x", size))
+	expectNotRun(t, b)
+}
+
+// dialRaw returns a connection to s that fails after answerTimeout.
+func dialRaw(t *testing.T, s *httptest.Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// expectNotRun reads an answer from b, which must be 503, not run.
+func expectNotRun(t *testing.T, b *bufio.Reader) {
+	t.Helper()
+	p, err := http.ReadResponse(b, nil)
+	if err != nil {
+		t.Fatal("got no answer: ", err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	if o := p.Header.Get(contract.OutcomeHeader); p.StatusCode != http.StatusServiceUnavailable || o != contract.NotRun.String() {
+		t.Errorf("got %s, outcome %q, want 503, not run", p.Status, o)
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -79,6 +79,9 @@
 	Random    *sync.Pool       // of *rand.Rand
 	Headers   contract.Headers // names of the headers that callers use
 	Origin    string           // service of the worker of this daemon
+	// ForwardedWaitMax is how long a request may wait at another daemon, see
+	// contract.ForwardedWaitMax; 0 if only its deadline limits that.
+	ForwardedWaitMax time.Duration
 
 	budgets sync.Map // of *contract.Budget, by service
 }
@@ -395,7 +398,7 @@
 	}
 	sent := now
 	cancelIfLeft(r)
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.forwardedWaitEnd(now)), Now: h.Now}
 	y, stop := h.untilWaitsEnd(x, c.body)
 	defer stop()
 	f := p.Do(y, w, r, c.body)
@@ -421,6 +424,18 @@
 	return f
 }
 
+// forwardedWaitEnd returns the time until which a request that is sent to another
+// daemon at now may wait there, zero if only its deadline limits that.
+func (h *Handler) forwardedWaitEnd(now time.Time) time.Time {
+	if d := h.Worker.Drain(); !d.End.IsZero() {
+		return d.WaitEnd()
+	}
+	if h.ForwardedWaitMax == 0 {
+		return time.Time{}
+	}
+	return now.Add(h.ForwardedWaitMax)
+}
+
 // untilWaitsEnd returns a context for sending a request with the body b to another
 // daemon. If that has not asked for a large body by the time at which this daemon
 // gives up what waits, the context is cancelled: the request has not run.
@@ -452,10 +467,11 @@
 // then the membership protocol has detected whether it failed.
 const ejectTime = 2 * time.Second
 
-// attemptHeaders returns the headers of an attempt at another daemon, while this one
-// drains by d. The time that it may take there counts from the time t: when it is sent,
-// and later by its transit time, which the other daemon does not know.
-func (c *call) attemptHeaders(t time.Time, d contract.Drain) []hop.Field {
+// attemptHeaders returns the headers of an attempt at another daemon, where the request
+// may wait until waitEnd, see forwardedWaitEnd. The time that it may take there counts
+// from the time t: when it is sent, and later by its transit time, which the other
+// daemon does not know.
+func (c *call) attemptHeaders(t, waitEnd time.Time) []hop.Field {
 	l := append(make([]hop.Field, 0, len(c.linkHeaders)+3), c.linkHeaders...)
 	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.RemainingMs(t, c.deadline)})
 	if !c.admission.Goal.IsZero() {
@@ -464,11 +480,12 @@
 	if c.crashes > 0 {
 		l = append(l, hop.Field{Name: contract.CrashesHeader, Value: strconv.Itoa(c.crashes)})
 	}
-	switch {
-	case c.admission.NoWait:
-		l = append(l, hop.Field{Name: contract.QueueHeader, Value: "no"})
-	case !d.End.IsZero():
-		l = append(l, hop.Field{Name: contract.QueueHeader, Value: contract.RemainingMs(t, d.WaitEnd())})
+	q := contract.Queue{NoWait: c.admission.NoWait}
+	if waitEnd.Before(c.deadline) {
+		q.WaitEnd = waitEnd
+	}
+	if s := q.String(t); s != "" {
+		l = append(l, hop.Field{Name: contract.QueueHeader, Value: s})
 	}
 	return l
 }
--- a/caller/link.go
+++ b/caller/link.go
@@ -118,8 +118,9 @@
 	}
 	x, stop := context.WithDeadline(r.Context(), d)
 	defer stop()
+	k := contract.ParseQueue(now, r.Header.Get(contract.QueueHeader))
 	q := upstream.Request{
-		AdmissionRequest: upstream.AdmissionRequest{Kind: r.Header.Get(contract.KindHeader), Deadline: d, NoWait: r.Header.Get(contract.QueueHeader) == "no"},
+		AdmissionRequest: upstream.AdmissionRequest{Kind: r.Header.Get(contract.KindHeader), Deadline: d, NoWait: k.NoWait, WaitEnd: k.WaitEnd},
 		Service:          r.Header.Get(contract.ServiceHeader),
 		Origin:           r.Header.Get(contract.OriginHeader),
 		Body:             b,
@@ -127,11 +128,6 @@
 		Before:           func(a http.Header) { h.addLoad(a, r, now) },
 		CancelIfLeft:     func() { cancelIfLeft(r) },
 	}
-	if s := r.Header.Get(contract.QueueHeader); s != "" && !q.NoWait {
-		if e, err := contract.Deadline(now, deadlineDefault, s); err == nil {
-			q.WaitEnd = e
-		}
-	}
 	q.Crashes, _ = strconv.Atoi(r.Header.Get(contract.CrashesHeader)) // 0 without the header, as in most requests
 	// A request without a readable rank is treated as one of the least important.
 	if q.Rank, err = strconv.Atoi(r.Header.Get(contract.RankHeader)); err != nil {
--- a/contract/drain.go
+++ b/contract/drain.go
@@ -34,6 +34,14 @@
 	return expected > 0 && lateTimeFactor*expected <= d.WaitEnd().Sub(now)
 }
 
+// ForwardedWaitMax returns how long a request may wait at another daemon, from when it
+// is sent, if the daemon that sends it stops within the limit. Whenever that daemon
+// begins to stop, the request has then left the queue, and its answer has come or can
+// no longer say that it was not run, before the connections of callers are closed.
+func ForwardedWaitMax(limit time.Duration) time.Duration {
+	return max(limit-AnswerTime, limit/2)
+}
+
 // WaitEnd returns the time until which a request may wait for a worker.
 func (d Drain) WaitEnd() time.Time { return d.End.Add(-AnswerTime) }
 
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -57,7 +57,7 @@
 	ReleaseHeader = "Figwheel-Release"
 	LoadHeader    = "Figwheel-Load"
 	AgeHeader     = "Figwheel-Age-Ms" // age of the newest confirmation that no newer release is accepted
-	QueueHeader   = "Figwheel-Queue"  // "no" if the request must not be queued: another daemon may have a free slot; else for how long it may be, in milliseconds
+	QueueHeader   = "Figwheel-Queue"  // for how long the request may be queued, in milliseconds, after "no" if it must not be before its body was sent: another daemon may have a free slot
 	RankHeader    = "Figwheel-Rank"
 	GoalHeader    = "Figwheel-Goal-Ms" // remaining time to the latency target
 	KindHeader    = "Figwheel-Kind"    // name of the route, whose requests have similar service times
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"figwheel/platform/platformtest"
+	"figwheel/settings"
 	"figwheel/site"
 	"figwheel/upstream/upstreamtest"
 )
@@ -36,7 +37,12 @@
 }
 
 func newDrainFleet(t *testing.T, with func(k *upstreamtest.Worker)) *drainFleet {
-	d := &drainFleet{fleet: &fleet{t: t, store: &platformtest.Store{}}, ended: make(chan error, 3)}
+	return startDrainFleet(t, 0, with)
+}
+
+// startDrainFleet is newDrainFleet with a drain limit.
+func startDrainFleet(t *testing.T, limit settings.Duration, with func(k *upstreamtest.Worker)) *drainFleet {
+	d := &drainFleet{fleet: &fleet{t: t, store: &platformtest.Store{}, drainLimit: limit}, ended: make(chan error, 3)}
 	d.startAll(1, 3)
 	for i := range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -220,14 +226,19 @@
 // holdPath is the path of requests that the workers of a hold hold.
 const holdPath = "/hold"
 
+const (
+	holdSlots      = 2                                  // of each worker of a hold
+	holdDrainLimit = settings.Duration(4 * time.Second) // requests that wait elsewhere are given up before it while a hold is set up, too
+)
+
 // hold makes workers hold requests until release is closed.
 type hold struct{ release chan struct{} }
 
 // newHold returns a fleet with a hold. Its daemons know how long other requests take.
 func newHold(t *testing.T, c *http.Client) (*drainFleet, hold) {
 	h := hold{release: make(chan struct{})}
-	d := newDrainFleet(t, func(k *upstreamtest.Worker) {
-		k.Slots = 2
+	d := startDrainFleet(t, holdDrainLimit, func(k *upstreamtest.Worker) {
+		k.Slots = holdSlots
 		k.Hold = func(r *http.Request) {
 			if r.URL.Path == holdPath {
 				<-h.release
@@ -262,6 +273,15 @@
 	return n
 }
 
+// runs returns the number of requests that the workers began to run.
+func (d *drainFleet) runs() int {
+	n := 0
+	for _, k := range d.workers {
+		n += k.Total()
+	}
+	return n
+}
+
 // inFlight returns the number of requests at all workers and waiting for them.
 func (d *drainFleet) inFlight() int {
 	n := 0
@@ -323,32 +343,29 @@
 	}
 }
 
-// TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for its worker.
+// TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for a worker, its own or another one.
 func TestDrainAnswersWhatWaitsBeforeItsLimit(t *testing.T) {
 	t.Parallel()
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	d, h := newHold(t, c)
 	defer close(h.release)
-	held := make(chan string, 64)
-	n := d.occupy(c, held) + d.occupy(c, held)
-	waiting := make(chan string, 64)
-	sent := 0
-	for d.daemons[2].worker.InFlight() < 3 {
-		go func() { waiting <- postTo(c, d.daemons[2].Settings().CallAddress, holdPath) }()
-		sent++
-		d.wait("the request is at a worker or waits", func() bool { return d.inFlight() == n+sent })
+	before := d.runs()
+	results := make(chan string, 64)
+	n := d.occupy(c, results) + d.occupy(c, results)
+	for waitHere := false; !waitHere || d.inFlight() < len(d.daemons)*holdSlots+len(d.daemons); {
+		go func() { results <- postTo(c, d.daemons[stopping].Settings().CallAddress, holdPath) }()
+		n++
+		d.wait("the request is at a worker or waits", func() bool { return d.inFlight() == n })
+		waitHere = d.daemons[stopping].worker.InFlight() > holdSlots
 	}
 	<-d.stopAnnounced()
-	answered := 0
-	for range sent {
-		if s := <-waiting; strings.HasPrefix(s, "503 ") && strings.Contains(s, "not-run") {
+	answered, run := 0, d.runs()-before
+	for range n {
+		if s := <-results; strings.HasPrefix(s, "503 ") && strings.Contains(s, "not-run") {
 			answered++
 		}
 	}
-	if answered == 0 {
-		t.Error("no request that waited was answered as not run")
-	}
-	for range n {
-		<-held
+	if answered != n-run {
+		t.Errorf("%d of %d requests were answered as not run, and %d were at a worker", answered, n, run)
 	}
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,9 +36,10 @@
 
 	edge        *Edge // nil is figwheel's own
 	stageLimit  settings.Duration
-	now         func() time.Time // nil is time.Now
-	partitioned atomic.Bool      // whether sites cannot connect to each other
-	sites       sync.Map         // site names by peer address
+	drainLimit  settings.Duration // 0 is 2 s
+	now         func() time.Time  // nil is time.Now
+	partitioned atomic.Bool       // whether sites cannot connect to each other
+	sites       sync.Map          // site names by peer address
 	stops       []context.CancelFunc
 	ended       []chan error
 }
@@ -110,7 +112,7 @@
 	if s.StageLimit == 0 {
 		s.StageLimit = settings.Duration(3 * time.Second)
 	}
-	s.DrainLimit = settings.Duration(2 * time.Second)
+	s.DrainLimit = cmp.Or(f.drainLimit, settings.Duration(2*time.Second))
 	f.start(len(f.daemons)-1, s)
 }
 
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -183,7 +183,7 @@
 	s := &servers{daemon: d}
 	e := d.edge.Headers
 	s.work = []*server{
-		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut),
+		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service, ForwardedWaitMax: contract.ForwardedWaitMax(time.Duration(d.settings.DrainLimit))}, d.recordCut),
 		s.startWork(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}, nil),
 	}
 	p := http.NewServeMux()
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -49,6 +49,7 @@
 	Goal     time.Time // latency target, after which an answer is worth less; zero for none
 	Deadline time.Time // after which an answer is worth nothing; zero for none
 	NoWait   bool      // reject instead of queueing, as another worker may have a free slot
+	WaitEnd  time.Time // until which the request may wait; zero if only its context limits that
 }
 
 // Gate is the admission control of a worker: it admits as many requests as the
@@ -299,11 +300,12 @@
 }
 
 // rejects reports whether w is rejected on arrival because its expected wait is
-// too long: it would miss its deadline or its goal. A request that could not
+// too long: it would miss its deadline or its goal, or may not wait so long. A request that could not
 // meet its goal even without a wait is rejected for that only under overload.
 func (g *Gate) rejects(w *waiter, now time.Time) bool {
 	wait := g.expectedWait(w, now)
-	if w.missesDeadline(now.Add(wait)) {
+	t := now.Add(wait)
+	if w.missesDeadline(t) || !w.WaitEnd.IsZero() && t.After(w.WaitEnd) {
 		return true
 	}
 	if !w.meetsGoal(now) {
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -178,8 +178,6 @@
 	// It is called before the request is sent to the worker; may be nil.
 	CancelIfLeft func()
 
-	WaitEnd time.Time // until which the request may wait for the worker; zero if only its context limits that
-
 	Crashes int // number of workers that were sent the request before and did not answer
 }
 
