caller, upstream: answer an upload that still arrives when a drain ends

What callers saw: a request whose body was still arriving at the drain limit was cut off without an answer, from a caller as well as from another daemon. The other daemon's caller got 502 for it, or a closed connection if it was not the caller's turn, although the request had reached no worker.

Cause: the wait for a body ended only with the deadline of the request; EndWaits ended the waits for a slot and for leave to send a body, not the one for the body itself. The limit that another daemon sets for the wait (Figwheel-Queue) did not count either.

Both now end the read of the body.

TestUploadStillArrivingIsAnsweredBeforeDrainEnds failed before in 4 of 4 cases: "got no answer: i/o timeout" after 5 s (100 bytes and 60 KB, from a caller and from another daemon).

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -312,6 +312,33 @@
 	expectNotRun(t, b)
 }
 
+// TestUploadStillArrivingIsAnsweredBeforeDrainEnds guards against requests that are cut off at the end of a drain while their bodies arrive, and of which nobody can say that they have not run.
+func TestUploadStillArrivingIsAnsweredBeforeDrainEnds(t *testing.T) {
+	for _, size := range []int{100, 60 << 10} {
+		for _, over := range []string{"caller", "another daemon"} {
+			t.Run(fmt.Sprintf("%d bytes from %s", size, over), func(t *testing.T) {
+				w := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("it was sent to the worker") }))
+				n, o := mesh(t, address(w))
+				n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
+				a, k := n.call, &n.worker
+				if over != "caller" {
+					a, k = o[0].link, &o[0].worker
+				}
+				c := dialRaw(t, a)
+				_, _ = fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\nExpect: 100-continue\r\n%s: s\r\n\r\n", size, contract.ServiceHeader)
+				b := bufio.NewReader(c)
+				if s, err := b.ReadString('\n'); err != nil || !strings.Contains(s, "100 Continue") {
+					t.Fatal(s, err)
+				}
+				_, _ = b.ReadString('\n')
+				_, _ = io.WriteString(c, strings.Repeat("x", size/2))
+				k.EndWaits()
+				expectNotRun(t, b)
+			})
+		}
+	}
+}
+
 // dialRaw returns a connection to s that fails after answerTimeout.
 func dialRaw(t *testing.T, s *httptest.Server) net.Conn {
 	t.Helper()
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -195,8 +195,8 @@
 	x, stop := context.WithDeadline(r.Context(), d.Add(outcomeGraceTime))
 	defer stop()
 	c.body = hop.NewBody(w, r)
-	if err := c.body.Load(x); err != nil {
-		return hop.NotRun(result.CallerGone, err.Error()).At(hop.StageBody, h.Now().Sub(now))
+	if f := h.loadBody(x, c.body); !f.OK() {
+		return f.At(hop.StageBody, h.Now().Sub(now))
 	}
 	if c.body.IsUnread() {
 		watch(r)
@@ -227,6 +227,24 @@
 	return h.tryInstances(x, w, r, c)
 }
 
+// loadBody reads the body b of a request with the context x, unless it is read later.
+// It gives up when x ends, or when this daemon gives up what waits.
+func (h *Handler) loadBody(x context.Context, b *hop.Body) hop.Result {
+	if b.IsLoaded() {
+		return hop.Result{}
+	}
+	y, stop := h.Worker.UntilWaitsEnd(x)
+	defer stop()
+	err := b.Load(y)
+	switch {
+	case err == nil:
+		return hop.Result{}
+	case x.Err() == nil && y.Err() != nil:
+		return hop.NotRun(result.Leaving, "the daemon stops, and the body has not arrived")
+	}
+	return hop.NotRun(result.CallerGone, err.Error())
+}
+
 // rejectSuspect reports whether the request is rejected because it is suspected
 // of crashing workers, and sets the time for which it still is.
 func (h *Handler) rejectSuspect(c *call, r *http.Request, now time.Time) bool {
--- a/hop/body.go
+++ b/hop/body.go
@@ -72,6 +72,9 @@
 	return b != nil && (b.interrupted.Load() || b.duplex && !b.streamEnded.Load())
 }
 
+// IsLoaded reports whether Load has nothing to read.
+func (b *Body) IsLoaded() bool { return b.source == nil || b.buffered.Load() }
+
 // Load reads a body that is to be buffered. An error means that the caller did not
 // send the whole body before x ended; its connection cannot be used any further.
 func (b *Body) Load(x context.Context) error {
--- a/upstream/drain.go
+++ b/upstream/drain.go
@@ -85,6 +85,17 @@
 	k.endWaits()
 }
 
+// UntilWaitsEnd returns a context that ends with x, or when no request of the daemon
+// may wait any more.
+func (k *Worker) UntilWaitsEnd(x context.Context) (context.Context, context.CancelFunc) {
+	y, cancel := context.WithCancel(x)
+	stop := context.AfterFunc(k.Waits(), cancel)
+	return y, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Waits returns a context that ends when no request of the daemon may wait any more.
 func (k *Worker) Waits() context.Context {
 	k.waitsOnce.Do(func() { k.waits, k.endWaits = context.WithCancel(context.Background()) })
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -233,8 +233,8 @@
 // readBody reads the body of a request and returns 0, or the code of why it was
 // not read. A large body is read only once the gate admits it; until then the
 // sender withholds it. After that the request may wait for a slot even if NoWait
-// was set, because the transfer was its more expensive part. The gate is waited for
-// until y ends.
+// was set, because the transfer was its more expensive part. The gate and the body
+// are waited for until y ends.
 func (k *Worker) readBody(x, y context.Context, q *Request, now time.Time) result.Code {
 	n := q.Body.UnreadBytes()
 	if n > 0 {
@@ -244,10 +244,18 @@
 		defer func() { k.gate.LeaveBody(q.Now(), n) }()
 		q.NoWait = false
 	}
-	if q.Body.Load(x) == nil {
+	if q.Body.IsLoaded() {
 		return 0
 	}
-	return contextCode(x)
+	z, stop := k.UntilWaitsEnd(y)
+	defer stop()
+	switch {
+	case q.Body.Load(z) == nil:
+		return 0
+	case y.Err() == nil && z.Err() != nil:
+		return result.Leaving
+	}
+	return waitCode(x, contextCode(y))
 }
 
 // waitContext returns the context in which a request with the context x may wait.
