daemon: announce the end of a drain that took until its limit

What others saw: an instance whose drain took until its limit never said that it had left. They took it for draining until their probes failed.

Cause: the announcement was made with the context of the drain, which has ended by then. It also came after http.Server.Close, which waits for connections that linger.

The announcement now has a time of its own, 0.5 s, and is made while the connections are closed.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"figwheel/contract"
+	"figwheel/instance"
 	"figwheel/platform/platformtest"
 	"figwheel/result"
 	"figwheel/settings"
@@ -472,6 +473,31 @@
 	}
 }
 
+// TestDrainAnnouncesItsEndAtItsLimit guards against a daemon that drains until its limit and then ends without a word, so that the others find out by probes.
+func TestDrainAnnouncesItsEndAtItsLimit(t *testing.T) {
+	t.Parallel()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d, h := newHold(t, c)
+	defer close(h.release)
+	results := make(chan string, 64)
+	n := d.occupy(c, results)
+	<-d.stopAnnounced()
+	name := d.daemons[stopping].Settings().Instance
+	for i := range d.daemons {
+		var state instance.State
+		if i != stopping && d.ask(i, func(c *control) bool {
+			r, _, ok := c.table.Get(name)
+			state = r.State
+			return ok && state != instance.Left
+		}) {
+			t.Errorf("daemon %d takes it for %s, want %s", i, state, instance.Left)
+		}
+	}
+	for range n {
+		<-results
+	}
+}
+
 // TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for a worker, its own or another one.
 func TestDrainAnswersWhatWaitsBeforeItsLimit(t *testing.T) {
 	t.Parallel()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -30,7 +30,7 @@
 	linkIdleTimeout    = 30 * time.Second
 	leaveNoticeDelay   = 300 * time.Millisecond // for the draining state to reach the other instances
 	drainPollInterval  = 10 * time.Millisecond
-	leaveNoticeTimeout = time.Second
+	leaveNoticeTimeout = 500 * time.Millisecond  // within the time from the drain limit until the process is killed
 	notReadyAnswersMin = 2                       // a daemon gets no new callers after so many answers that it is not ready
 	notReadyTimeout    = 2500 * time.Millisecond // for those answers; readiness is polled once a second
 )
@@ -288,9 +288,9 @@
 // the worker sends its own calls to it. Last, the servers are closed, which have no
 // requests by then. Before the limit, the requests that wait are given up in time for
 // an answer; one that runs is left to its worker until the limit.
-func (d *Daemon) leave(x context.Context, s *servers) {
+func (d *Daemon) leave(y context.Context, s *servers) {
 	limit := time.Duration(d.settings.DrainLimit)
-	x, stop := context.WithTimeout(x, limit)
+	x, stop := context.WithTimeout(y, limit)
 	defer stop()
 	e := contract.Drain{End: d.now().Add(limit)}
 	d.worker.SetDrain(e, d.now())
@@ -313,9 +313,10 @@
 	}
 	g.Wait()
 	for _, v := range s.work {
-		_ = v.Close()
+		g.Go(func() { _ = v.Close() }) // may linger, see caller.Connection
 	}
-	d.announceLeft(x)
+	d.announceLeft(y)
+	g.Wait()
 }
 
 // awaitNotReadyAnswers makes the readiness handler answer that this daemon is not
