--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// TestLateRequestFromAnotherDaemonIsRejected guards against a stopping daemon that takes a request of another daemon and cuts it off.
+func TestLateRequestFromAnotherDaemonIsRejected(t *testing.T) {
+	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
+	}))
+	n, o := mesh(t, address(w))
+	n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
+	if g := send(t, request(t, n, "POST", "/once", nil)); g.Status != http.StatusOK {
+		t.Fatalf("%+v", g)
+	}
+	sent := o[0].worker.Sent()
+	drain(o[0], contract.AnswerTime)
+	if d := cmp.Diff(leaving(), send(t, request(t, n, "POST", "/once", nil))); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+	if k := o[0].worker.Sent(); k != sent {
+		t.Errorf("%d requests were sent to the worker", k-sent)
+	}
+}
+
 // TestWaitingRequestIsAnsweredBeforeDrainEnds guards against requests that have not run and that a stopping daemon cuts off, and against an answer of its own in place of that of a worker at work.
 func TestWaitingRequestIsAnsweredBeforeDrainEnds(t *testing.T) {
 	began, release := make(chan struct{}, 2), make(chan struct{})
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -130,7 +130,8 @@
 type attempt struct {
 	answered   bool          // whether it got a complete 200
 	away       bool          // whether no connection was opened
-	refused    bool          // whether a daemon that stops answered that it was not run
+	notRun     bool          // whether the answer was that it was not run
+	refused    bool          // whether a daemon that stops gave that answer
 	closed     bool          // whether the connection ended without an answer
 	retryAfter time.Duration // of a refusal
 	text       string
@@ -220,13 +221,13 @@
 	defer func() { _ = p.Body.Close() }()
 	b, err := io.ReadAll(p.Body)
 	v := attempt{answered: err == nil && p.StatusCode == http.StatusOK, text: p.Status + " " + string(b)}
-	if p.StatusCode != http.StatusServiceUnavailable || err != nil {
+	v.notRun = err == nil && p.StatusCode == http.StatusServiceUnavailable && p.Header.Get(contract.OutcomeHeader) == contract.NotRun.String()
+	if !v.notRun {
 		return v
 	}
 	s, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
 	v.retryAfter = time.Duration(s * float64(time.Second))
-	v.refused = err == nil && v.retryAfter > 0 && v.retryAfter <= retryAfterMax && p.Close &&
-		p.Header.Get(contract.OutcomeHeader) == contract.NotRun.String() && p.Header.Get(contract.CodeHeader) == result.Leaving.String()
+	v.refused = err == nil && v.retryAfter > 0 && v.retryAfter <= retryAfterMax && p.Close && p.Header.Get(contract.CodeHeader) == result.Leaving.String()
 	return v
 }
 
@@ -294,31 +295,82 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainFleet(t, nil)
-			x, stop := context.WithCancel(context.Background())
-			done := d.load(x)
-			d.wait("the worker runs requests", func() bool { return d.workers[2].Peak() > 0 })
-			began := time.Now()
-			c.leave(d)
-			const within = 3 * time.Second // the required bound
-			last, at := d.workers[2].Total(), began
-			for time.Since(began) < within+500*time.Millisecond {
-				if n := d.workers[2].Total(); n != last {
-					last, at = n, time.Now()
+			drainUnderLoad(t, c.leave)
+		})
+	}
+}
+
+// drainUnderLoad calls leave under load, and checks what TestDrain requires.
+func drainUnderLoad(t *testing.T, leave func(d *drainFleet)) {
+	t.Helper()
+	d := newDrainFleet(t, nil)
+	x, stop := context.WithCancel(context.Background())
+	done := d.load(x)
+	d.wait("the worker runs requests", func() bool { return d.workers[2].Peak() > 0 })
+	began := time.Now()
+	leave(d)
+	const within = 3 * time.Second // the required bound
+	last, at := d.workers[2].Total(), began
+	for time.Since(began) < within+500*time.Millisecond {
+		if n := d.workers[2].Total(); n != last {
+			last, at = n, time.Now()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	stop()
+	<-done
+	if at.Sub(began) > within {
+		t.Errorf("the worker got a new request %s after the drain began", at.Sub(began))
+	}
+	if s := d.failed.Load(); s != nil {
+		t.Errorf("a call failed: %s", *s)
+	}
+	d.checkAttempts()
+	t.Logf("%d calls; the worker got its last request %s after the drain began; %d requests were refused, %d not read", d.calls.Load(), at.Sub(began).Round(time.Millisecond), d.refused, d.unread)
+}
+
+// TestDrainAfterWorkerHasEnded guards against calls that fail at a daemon that stops after its worker has ended, and that has to forward them.
+func TestDrainAfterWorkerHasEnded(t *testing.T) {
+	t.Parallel()
+	drainUnderLoad(t, func(d *drainFleet) {
+		d.workers[stopping].SetState(instance.Draining.String())
+		d.wait("no request is sent to the worker", func() bool {
+			return d.all(func(c *control) bool { return len(c.readyInstances()) == 2 }) && d.daemons[stopping].worker.InFlight() == 0
+		})
+		d.ends[stopping]()
+		d.stop(stopping)
+	})
+}
+
+// TestStopDuringStartAnswersCallers guards against a daemon that is stopped while it starts and drops what its callers have sent.
+func TestStopDuringStartAnswersCallers(t *testing.T) {
+	t.Parallel()
+	f := &fleet{t: t, store: &platformtest.Store{}}
+	t.Cleanup(f.close)
+	f.add(settings.Settings{Instance: "i", Site: "site-0"})
+	const callers = 4
+	results := make(chan attempt, callers)
+	for range callers {
+		go func() {
+			c := &http.Client{Transport: &http.Transport{}}
+			defer c.CloseIdleConnections()
+			for {
+				v := try(c, f.daemons[0].Settings().CallAddress, "")
+				if !v.notRun {
+					results <- v
+					return
 				}
-				time.Sleep(5 * time.Millisecond)
-			}
-			stop()
-			<-done
-			if at.Sub(began) > within {
-				t.Errorf("the worker got a new request %s after the drain began", at.Sub(began))
-			}
-			if s := d.failed.Load(); s != nil {
-				t.Errorf("a call failed: %s", *s)
 			}
-			d.checkAttempts()
-			t.Logf("%d calls; the worker got its last request %s after the drain began; %d requests were refused, %d not read", d.calls.Load(), at.Sub(began).Round(time.Millisecond), d.refused, d.unread)
-		})
+		}()
+	}
+	f.stop(0)
+	for range callers {
+		if v := <-results; !v.away && !v.closed {
+			t.Errorf("got %q, want 503, not run, until the daemon has ended", v.text)
+		}
+	}
+	if n := f.daemons[0].cuts.Load(); n > 0 {
+		t.Errorf("the daemon closed %d connections under a request that it had read", n)
 	}
 }
 
