caller: name the drain when it keeps a request from waiting elsewhere

Cause: the daemon looks for a free slot first. Another daemon rejected that, after 0.38 and 0.17 s, and the drain had been announced meanwhile. The choice of an instance to wait at passed over all of them, because the drain does not allow the request to begin. Why they were passed over was dropped, and the caller got the earlier code.

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// TestRequestThatDrainLetsNotWaitIsAnsweredAsLeaving guards against a caller that is told to wait out an overload because its daemon stops.
+func TestRequestThatDrainLetsNotWaitIsAnsweredAsLeaving(t *testing.T) {
+	n := newNode(t)
+	a := listen(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		drain(n, drainDeadline)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: %s\r\n%s: 2 0 0\r\nContent-Length: 0\r\n\r\n",
+			contract.CodeHeader, result.Overloaded, contract.OutcomeHeader, contract.NotRun, contract.LoadHeader)
+	})
+	l := []link.Candidate{{Name: "other", Address: a, Slots: 2, SameSite: true, Peer: &link.Peer{}}}
+	n.view.Store(caller.NewView(patientSnapshot(t), map[string]link.Candidates{"s": link.NewCandidates(l)}))
+	if d := cmp.Diff(leaving(), send(t, request(t, n, "POST", "/once", nil))); d != "" {
+		t.Errorf("(-want +got)\n%s", d)
+	}
+}
+
 // TestWaitingRequestIsAnsweredBeforeDrainEnds guards against requests that have not run and that a stopping daemon cuts off, and against an answer of its own in place of that of a worker at work.
 func TestWaitingRequestIsAnsweredBeforeDrainEnds(t *testing.T) {
 	began, release := make(chan struct{}, 2), make(chan struct{})
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -289,7 +289,10 @@
 			// All instances are full: wait at the one with the lowest expected time.
 			mayWait = true
 			c.tried = c.tried[:0]
-			k, _ = h.choose(l, c, now)
+			k, passed = h.choose(l, c, now)
+		}
+		if k == nil && passed.Code == result.Leaving && f.Outcome == contract.NotRun {
+			return passed // this daemon ends the attempts, not the load of the others
 		}
 		if k == nil || waitOffers > 0 && f.Code == result.Overloaded && !k.MayHaveRoom(last, now) {
 			return f
