--- a/caller/handler.go
+++ b/caller/handler.go
@@ -79,6 +79,9 @@
 	Random    *sync.Pool       // of *rand.Rand
 	Headers   contract.Headers // names of the headers that callers use
 	Origin    string           // service of the worker of this daemon
+	// ForwardedWaitMax is how long a request may wait at another daemon, see
+	// contract.ForwardedWaitMax; 0 if only its deadline limits that.
+	ForwardedWaitMax time.Duration
 
 	budgets sync.Map // of *contract.Budget, by service
 }
@@ -192,8 +195,8 @@
 	x, stop := context.WithDeadline(r.Context(), d.Add(outcomeGraceTime))
 	defer stop()
 	c.body = hop.NewBody(w, r)
-	if err := c.body.Load(x); err != nil {
-		return hop.NotRun(result.CallerGone, err.Error()).At(hop.StageBody, h.Now().Sub(now))
+	if f := h.loadBody(x, c.body); !f.OK() {
+		return f.At(hop.StageBody, h.Now().Sub(now))
 	}
 	if c.body.IsUnread() {
 		watch(r)
@@ -224,6 +227,24 @@
 	return h.tryInstances(x, w, r, c)
 }
 
+// loadBody reads the body b of a request with the context x, unless it is read later.
+// It gives up when x ends, or when this daemon gives up what waits.
+func (h *Handler) loadBody(x context.Context, b *hop.Body) hop.Result {
+	if b.IsLoaded() {
+		return hop.Result{}
+	}
+	y, stop := h.Worker.UntilWaitsEnd(x)
+	defer stop()
+	err := b.Load(y)
+	switch {
+	case err == nil:
+		return hop.Result{}
+	case x.Err() == nil && y.Err() != nil:
+		return hop.NotRun(result.Leaving, "the daemon stops, and the body has not arrived")
+	}
+	return hop.NotRun(result.CallerGone, err.Error())
+}
+
 // rejectSuspect reports whether the request is rejected because it is suspected
 // of crashing workers, and sets the time for which it still is.
 func (h *Handler) rejectSuspect(c *call, r *http.Request, now time.Time) bool {
@@ -268,7 +289,10 @@
 			// All instances are full: wait at the one with the lowest expected time.
 			mayWait = true
 			c.tried = c.tried[:0]
-			k, _ = h.choose(l, c, now)
+			k, passed = h.choose(l, c, now)
+		}
+		if k == nil && passed.Code == result.Leaving && f.Outcome == contract.NotRun {
+			return passed // this daemon ends the attempts, not the load of the others
 		}
 		if k == nil || waitOffers > 0 && f.Code == result.Overloaded && !k.MayHaveRoom(last, now) {
 			return f
@@ -405,7 +429,7 @@
 	}
 	sent := now
 	cancelIfLeft(r)
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.forwardedWaitEnd(now)), Now: h.Now}
 	y, stop := h.untilWaitsEnd(x, c.body)
 	defer stop()
 	f := p.Do(y, w, r, c.body)
@@ -431,6 +455,18 @@
 	return f
 }
 
+// forwardedWaitEnd returns the time until which a request that is sent to another
+// daemon at now may wait there, zero if only its deadline limits that.
+func (h *Handler) forwardedWaitEnd(now time.Time) time.Time {
+	if d := h.Worker.Drain(); !d.End.IsZero() {
+		return d.WaitEnd()
+	}
+	if h.ForwardedWaitMax == 0 {
+		return time.Time{}
+	}
+	return now.Add(h.ForwardedWaitMax)
+}
+
 // untilWaitsEnd returns a context for sending a request with the body b to another
 // daemon. If that has not asked for a large body by the time at which this daemon
 // gives up what waits, the context is cancelled: the request has not run.
@@ -462,10 +498,11 @@
 // then the membership protocol has detected whether it failed.
 const ejectTime = 2 * time.Second
 
-// attemptHeaders returns the headers of an attempt at another daemon, while this one
-// drains by d. The time that it may take there counts from the time t: when it is sent,
-// and later by its transit time, which the other daemon does not know.
-func (c *call) attemptHeaders(t time.Time, d contract.Drain) []hop.Field {
+// attemptHeaders returns the headers of an attempt at another daemon, where the request
+// may wait until waitEnd, see forwardedWaitEnd. The time that it may take there counts
+// from the time t: when it is sent, and later by its transit time, which the other
+// daemon does not know.
+func (c *call) attemptHeaders(t, waitEnd time.Time) []hop.Field {
 	l := append(make([]hop.Field, 0, len(c.linkHeaders)+3), c.linkHeaders...)
 	l = append(l, hop.Field{Name: contract.DeadlineHeader, Value: contract.RemainingMs(t, c.deadline)})
 	if !c.admission.Goal.IsZero() {
@@ -474,11 +511,12 @@
 	if c.crashes > 0 {
 		l = append(l, hop.Field{Name: contract.CrashesHeader, Value: strconv.Itoa(c.crashes)})
 	}
-	switch {
-	case c.admission.NoWait:
-		l = append(l, hop.Field{Name: contract.QueueHeader, Value: "no"})
-	case !d.End.IsZero():
-		l = append(l, hop.Field{Name: contract.QueueHeader, Value: contract.RemainingMs(t, d.WaitEnd())})
+	q := contract.Queue{NoWait: c.admission.NoWait}
+	if waitEnd.Before(c.deadline) {
+		q.WaitEnd = waitEnd
+	}
+	if s := q.String(t); s != "" {
+		l = append(l, hop.Field{Name: contract.QueueHeader, Value: s})
 	}
 	return l
 }
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -6,12 +6,18 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"figwheel/contract"
+	"figwheel/instance"
 	"figwheel/platform/platformtest"
+	"figwheel/result"
+	"figwheel/settings"
 	"figwheel/site"
 	"figwheel/upstream/upstreamtest"
 )
@@ -33,10 +39,21 @@
 	ended   chan error
 	failed  atomic.Pointer[string]
 	calls   atomic.Int64
+
+	mu       sync.Mutex
+	ids      atomic.Int64
+	attempts map[string]attempt // by request id
+	refused  int                // attempts that were answered as not run
+	unread   int                // attempts without an answer
 }
 
 func newDrainFleet(t *testing.T, with func(k *upstreamtest.Worker)) *drainFleet {
-	d := &drainFleet{fleet: &fleet{t: t, store: &platformtest.Store{}}, ended: make(chan error, 3)}
+	return startDrainFleet(t, 0, with)
+}
+
+// startDrainFleet is newDrainFleet with a drain limit.
+func startDrainFleet(t *testing.T, limit settings.Duration, with func(k *upstreamtest.Worker)) *drainFleet {
+	d := &drainFleet{fleet: &fleet{t: t, store: &platformtest.Store{}, drainLimit: limit}, ended: make(chan error, 3)}
 	d.startAll(1, 3)
 	for i := range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -74,8 +91,8 @@
 
 const drainCallers = 24
 
-// load sends requests that must not run twice to all daemons until x ends. An
-// answer other than a complete 200 is a failure. Callers of a daemon that takes
+// load sends requests that must not run twice to all daemons until x ends. A call
+// that does not end with a complete 200 is a failure. Callers of a daemon that takes
 // no connection go to the next one.
 func (d *drainFleet) load(x context.Context) chan struct{} {
 	done := make(chan struct{})
@@ -87,12 +104,7 @@
 			c := &http.Client{Transport: &http.Transport{}}
 			defer c.CloseIdleConnections()
 			for x.Err() == nil {
-				s := post(c, a)
-				if s == dialFailed {
-					a = next
-					continue
-				}
-				if s != "" {
+				if s := d.call(c, &a, next); s != "" {
 					d.failed.Store(&s)
 				}
 				d.calls.Add(1)
@@ -109,6 +121,116 @@
 	return all
 }
 
+const (
+	callTimeout   = 5 * time.Second        // the deadline of the service
+	retryAfterMax = 100 * time.Millisecond // of an answer of a daemon that stops
+)
+
+// attempt is what came of one request of a call.
+type attempt struct {
+	answered   bool          // whether it got a complete 200
+	away       bool          // whether no connection was opened
+	notRun     bool          // whether the answer was that it was not run
+	refused    bool          // whether a daemon that stops gave that answer
+	closed     bool          // whether the connection ended without an answer
+	retryAfter time.Duration // of a refusal
+	text       string
+}
+
+// call makes a call to the daemon at the address a, which it sets to next if that
+// takes no connection. It returns the empty string once an attempt has got a complete
+// 200, and otherwise what went wrong. Only a daemon that stops may make it try again: by
+// saying that the request was not run, or by closing the connection without having
+// read it. What it says is checked by checkAttempts.
+func (d *drainFleet) call(c *http.Client, a *string, next string) string {
+	for end := time.Now().Add(callTimeout); ; {
+		id := strconv.FormatInt(d.ids.Add(1), 10)
+		v := try(c, *a, id)
+		if v.away {
+			*a = next
+			continue
+		}
+		stops := *a == d.daemons[stopping].Settings().CallAddress && d.daemons[stopping].IsDraining()
+		d.record(id, v)
+		switch {
+		case v.answered:
+			return ""
+		case !stops, !v.refused && !v.closed, time.Now().After(end):
+			return v.text
+		}
+		time.Sleep(v.retryAfter)
+	}
+}
+
+func (d *drainFleet) record(id string, v attempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.attempts == nil {
+		d.attempts = make(map[string]attempt)
+	}
+	d.attempts[id] = v
+	if v.refused {
+		d.refused++
+	}
+	if v.closed {
+		d.unread++
+	}
+}
+
+// checkAttempts checks that each request that was answered has run once and no other
+// has, and that no daemon has read a request and closed its connection without an
+// answer.
+func (d *drainFleet) checkAttempts() {
+	d.t.Helper()
+	runs := make(map[string]int)
+	for _, k := range d.workers {
+		for id, n := range k.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, v := range d.attempts {
+		want := 0
+		if v.answered {
+			want = 1
+		}
+		if runs[id] != want {
+			d.t.Errorf("request %s has run %d times, want %d: %s", id, runs[id], want, v.text)
+		}
+	}
+	for i, b := range d.daemons {
+		if n := b.cuts.Load(); n > 0 {
+			d.t.Errorf("daemon %d closed %d connections under a request that it had read", i, n)
+		}
+	}
+}
+
+// try sends the request with the id.
+func try(c *http.Client, address, id string) attempt {
+	q, err := newPost(address, "/")
+	if err != nil {
+		return attempt{text: err.Error()}
+	}
+	q.Header.Set(upstreamtest.RequestHeader, id)
+	p, err := c.Do(q)
+	if isDialFailure(err) {
+		return attempt{away: true}
+	}
+	if err != nil {
+		return attempt{closed: true, text: err.Error()}
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	v := attempt{answered: err == nil && p.StatusCode == http.StatusOK, text: p.Status + " " + string(b)}
+	v.notRun = err == nil && p.StatusCode == http.StatusServiceUnavailable && p.Header.Get(contract.OutcomeHeader) == contract.NotRun.String()
+	if !v.notRun {
+		return v
+	}
+	s, err := strconv.ParseFloat(p.Header.Get("Retry-After"), 64)
+	v.retryAfter = time.Duration(s * float64(time.Second))
+	v.refused = err == nil && v.retryAfter > 0 && v.retryAfter <= retryAfterMax && p.Close && p.Header.Get(contract.CodeHeader) == result.Leaving.String()
+	return v
+}
+
 // dialFailed is the result of post if no connection was opened.
 const dialFailed = "away"
 
@@ -118,15 +240,12 @@
 
 // postTo is post for a path.
 func postTo(c *http.Client, address, path string) string {
-	q, err := http.NewRequest(http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader("x")))
+	q, err := newPost(address, path)
 	if err != nil {
 		return err.Error()
 	}
-	q.ContentLength = 1
-	q.Host = "h.example"
 	p, err := c.Do(q)
-	var o *net.OpError
-	if errors.As(err, &o) && o.Op == "dial" {
+	if isDialFailure(err) {
 		return dialFailed // without a connection the request cannot have run
 	}
 	if err != nil {
@@ -140,9 +259,26 @@
 	return ""
 }
 
-// TestDrain guards against requests that fail while a worker drains, its daemon
-// stops, or both. Under load, no answer may be lost or fail, and new requests
-// must stop reaching the worker within 3 s.
+// newPost returns a request with a body of one byte.
+func newPost(address, path string) (*http.Request, error) {
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader("x")))
+	if err != nil {
+		return nil, err
+	}
+	q.ContentLength = 1
+	q.Host = "h.example"
+	return q, nil
+}
+
+// isDialFailure reports whether err says that no connection was opened.
+func isDialFailure(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
+// TestDrain guards against calls that fail while a worker drains, its daemon
+// stops, or both. Under load, no answer may be lost or fail, no request may run that
+// was said not to have, and new requests must stop reaching the worker within 3 s.
 func TestDrain(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
@@ -159,30 +295,82 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d := newDrainFleet(t, nil)
-			x, stop := context.WithCancel(context.Background())
-			done := d.load(x)
-			d.wait("the worker runs requests", func() bool { return d.workers[2].Peak() > 0 })
-			began := time.Now()
-			c.leave(d)
-			const within = 3 * time.Second // the required bound
-			last, at := d.workers[2].Total(), began
-			for time.Since(began) < within+500*time.Millisecond {
-				if n := d.workers[2].Total(); n != last {
-					last, at = n, time.Now()
+			drainUnderLoad(t, c.leave)
+		})
+	}
+}
+
+// drainUnderLoad calls leave under load, and checks what TestDrain requires.
+func drainUnderLoad(t *testing.T, leave func(d *drainFleet)) {
+	t.Helper()
+	d := newDrainFleet(t, nil)
+	x, stop := context.WithCancel(context.Background())
+	done := d.load(x)
+	d.wait("the worker runs requests", func() bool { return d.workers[2].Peak() > 0 })
+	began := time.Now()
+	leave(d)
+	const within = 3 * time.Second // the required bound
+	last, at := d.workers[2].Total(), began
+	for time.Since(began) < within+500*time.Millisecond {
+		if n := d.workers[2].Total(); n != last {
+			last, at = n, time.Now()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	stop()
+	<-done
+	if at.Sub(began) > within {
+		t.Errorf("the worker got a new request %s after the drain began", at.Sub(began))
+	}
+	if s := d.failed.Load(); s != nil {
+		t.Errorf("a call failed: %s", *s)
+	}
+	d.checkAttempts()
+	t.Logf("%d calls; the worker got its last request %s after the drain began; %d requests were refused, %d not read", d.calls.Load(), at.Sub(began).Round(time.Millisecond), d.refused, d.unread)
+}
+
+// TestDrainAfterWorkerHasEnded guards against calls that fail at a daemon that stops after its worker has ended, and that has to forward them.
+func TestDrainAfterWorkerHasEnded(t *testing.T) {
+	t.Parallel()
+	drainUnderLoad(t, func(d *drainFleet) {
+		d.workers[stopping].SetState(instance.Draining.String())
+		d.wait("no request is sent to the worker", func() bool {
+			return d.all(func(c *control) bool { return len(c.readyInstances()) == 2 }) && d.daemons[stopping].worker.InFlight() == 0
+		})
+		d.ends[stopping]()
+		d.stop(stopping)
+	})
+}
+
+// TestStopDuringStartAnswersCallers guards against a daemon that is stopped while it starts and drops what its callers have sent.
+func TestStopDuringStartAnswersCallers(t *testing.T) {
+	t.Parallel()
+	f := &fleet{t: t, store: &platformtest.Store{}}
+	t.Cleanup(f.close)
+	f.add(settings.Settings{Instance: "i", Site: "site-0"})
+	const callers = 4
+	results := make(chan attempt, callers)
+	for range callers {
+		go func() {
+			c := &http.Client{Transport: &http.Transport{}}
+			defer c.CloseIdleConnections()
+			for {
+				v := try(c, f.daemons[0].Settings().CallAddress, "")
+				if !v.notRun {
+					results <- v
+					return
 				}
-				time.Sleep(5 * time.Millisecond)
-			}
-			stop()
-			<-done
-			if at.Sub(began) > within {
-				t.Errorf("the worker got a new request %s after the drain began", at.Sub(began))
 			}
-			if s := d.failed.Load(); s != nil {
-				t.Errorf("a call failed: %s", *s)
-			}
-			t.Logf("%d calls; the worker got its last request %s after the drain began", d.calls.Load(), at.Sub(began).Round(time.Millisecond))
-		})
+		}()
+	}
+	f.stop(0)
+	for range callers {
+		if v := <-results; !v.away && !v.closed {
+			t.Errorf("got %q, want 503, not run, until the daemon has ended", v.text)
+		}
+	}
+	if n := f.daemons[0].cuts.Load(); n > 0 {
+		t.Errorf("the daemon closed %d connections under a request that it had read", n)
 	}
 }
 
@@ -220,14 +408,19 @@
 // holdPath is the path of requests that the workers of a hold hold.
 const holdPath = "/hold"
 
+const (
+	holdSlots      = 2                                  // of each worker of a hold
+	holdDrainLimit = settings.Duration(4 * time.Second) // requests that wait elsewhere are given up before it while a hold is set up, too
+)
+
 // hold makes workers hold requests until release is closed.
 type hold struct{ release chan struct{} }
 
 // newHold returns a fleet with a hold. Its daemons know how long other requests take.
 func newHold(t *testing.T, c *http.Client) (*drainFleet, hold) {
 	h := hold{release: make(chan struct{})}
-	d := newDrainFleet(t, func(k *upstreamtest.Worker) {
-		k.Slots = 2
+	d := startDrainFleet(t, holdDrainLimit, func(k *upstreamtest.Worker) {
+		k.Slots = holdSlots
 		k.Hold = func(r *http.Request) {
 			if r.URL.Path == holdPath {
 				<-h.release
@@ -262,6 +455,15 @@
 	return n
 }
 
+// runs returns the number of requests that the workers began to run.
+func (d *drainFleet) runs() int {
+	n := 0
+	for _, k := range d.workers {
+		n += k.Total()
+	}
+	return n
+}
+
 // inFlight returns the number of requests at all workers and waiting for them.
 func (d *drainFleet) inFlight() int {
 	n := 0
@@ -323,32 +525,54 @@
 	}
 }
 
-// TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for its worker.
+// TestDrainAnnouncesItsEndAtItsLimit guards against a daemon that drains until its limit and then ends without a word, so that the others find out by probes.
+func TestDrainAnnouncesItsEndAtItsLimit(t *testing.T) {
+	t.Parallel()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d, h := newHold(t, c)
+	defer close(h.release)
+	results := make(chan string, 64)
+	n := d.occupy(c, results)
+	<-d.stopAnnounced()
+	name := d.daemons[stopping].Settings().Instance
+	for i := range d.daemons {
+		var state instance.State
+		if i != stopping && d.ask(i, func(c *control) bool {
+			r, _, ok := c.table.Get(name)
+			state = r.State
+			return ok && state != instance.Left
+		}) {
+			t.Errorf("daemon %d takes it for %s, want %s", i, state, instance.Left)
+		}
+	}
+	for range n {
+		<-results
+	}
+}
+
+// TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for a worker, its own or another one.
 func TestDrainAnswersWhatWaitsBeforeItsLimit(t *testing.T) {
 	t.Parallel()
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	d, h := newHold(t, c)
 	defer close(h.release)
-	held := make(chan string, 64)
-	n := d.occupy(c, held) + d.occupy(c, held)
-	waiting := make(chan string, 64)
-	sent := 0
-	for d.daemons[2].worker.InFlight() < 3 {
-		go func() { waiting <- postTo(c, d.daemons[2].Settings().CallAddress, holdPath) }()
-		sent++
-		d.wait("the request is at a worker or waits", func() bool { return d.inFlight() == n+sent })
+	before := d.runs()
+	results := make(chan string, 64)
+	n := d.occupy(c, results) + d.occupy(c, results)
+	for waitHere := false; !waitHere || d.inFlight() < len(d.daemons)*holdSlots+len(d.daemons); {
+		go func() { results <- postTo(c, d.daemons[stopping].Settings().CallAddress, holdPath) }()
+		n++
+		d.wait("the request is at a worker or waits", func() bool { return d.inFlight() == n })
+		waitHere = d.daemons[stopping].worker.InFlight() > holdSlots
 	}
 	<-d.stopAnnounced()
-	answered := 0
-	for range sent {
-		if s := <-waiting; strings.HasPrefix(s, "503 ") && strings.Contains(s, "not-run") {
+	answered, run := 0, d.runs()-before
+	for range n {
+		if s := <-results; strings.HasPrefix(s, "503 ") && strings.Contains(s, "not-run") {
 			answered++
 		}
 	}
-	if answered == 0 {
-		t.Error("no request that waited was answered as not run")
-	}
-	for range n {
-		<-held
+	if answered != n-run {
+		t.Errorf("%d of %d requests were answered as not run, and %d were at a worker", answered, n, run)
 	}
 }
