hop: test copies of refusals on connections that can't be avoided

Two parts of the check of refusals were not guarded by any test: a trial on a scratch copy without "or if no request with the id was refused on it" in connTrace.proveRefusal passed all tests of hop and caller, and so did one without refusedConnsMax. The first matters once a request has avoided as many connections as it may, the second bounds what it closes.

TestCopyOfRefusalOnLastConnection fails on the two copies: "POST: 1 runs, 6 connections, want 1, 6: {Outcome:not-run ...}" and "POST: 1 runs, 7 connections". No change of behaviour.

--- a/hop/refusalcopies_test.go
+++ b/hop/refusalcopies_test.go
@@ -164,3 +164,48 @@
 		}
 	}
 }
+
+// TestCopyOfRefusalOnLastConnection guards against a copy of a refusal that is believed
+// because the request has avoided as many connections as it may.
+func TestCopyOfRefusalOnLastConnection(t *testing.T) {
+	const connections = 6 // more than a request may avoid
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var opened, runs atomic.Int64
+		var arrived sync.WaitGroup
+		arrived.Add(connections)
+		a, stop := listen(t, func(c net.Conn) {
+			opened.Add(1)
+			b := bufio.NewReader(c)
+			for {
+				q, err := http.ReadRequest(b)
+				if err != nil {
+					return
+				}
+				if q.URL.Path == "/refused" {
+					arrived.Done()
+					arrived.Wait()
+				} else {
+					runs.Add(1)
+				}
+				_, _ = io.WriteString(c, refusal(503, true, "")("a"))
+			}
+		})
+		tr := hop.NewTransport(0, time.Second, time.Minute)
+		h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), HoldBack: true}
+		var g sync.WaitGroup
+		for range connections {
+			g.Go(func() {
+				if f, _ := sendTo(t, h, http.MethodGet, "a", "/refused", "", false); f.Outcome != contract.NotRun {
+					t.Errorf("the refusal of the request itself: %+v", f)
+				}
+			})
+		}
+		g.Wait()
+		f, _ := sendTo(t, h, method, "a", "/", "", false)
+		if n := opened.Load(); f.Outcome != contract.Unknown || runs.Load() != 1 || n != connections {
+			t.Errorf("%s: %d runs, %d connections, want 1, %d: %+v", method, runs.Load(), n, connections, f)
+		}
+		tr.CloseIdleConnections()
+		stop()
+	}
+}
