caller: read ahead again after net/http has aborted a read

What callers saw: a request of a caller that pipelines goes on waiting, and its worker goes on, after the caller has left.

Cause: net/http aborts its read of one byte by a deadline when a request ends. If bytes of pipelined requests arrive at that moment, the lookahead ends by the deadline and keeps them. The read of one byte during the next request takes one of them and returns; nothing reads the connection until that request has been answered.

Now such a read starts the lookahead also if it takes its byte from there. The check before a request is sent on was not affected.

Found by reading, shown at the connection: TestLookaheadGoesOnAfterAbort failed before with "the disconnect was not detected". How often net/http makes the moment was not measured.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -124,6 +124,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.startLookahead()
+}
+
+// startLookahead starts the lookahead unless it runs or has ended with the connection.
+// c.mu is held.
+func (c *Connection) startLookahead() {
 	if c.lookaheadDone == nil && c.lookaheadErr == nil {
 		c.lookaheadDone = make(chan struct{})
 		go c.readAhead(c.lookaheadDone)
@@ -160,6 +166,9 @@
 	for {
 		if !c.lookahead.isEmpty() {
 			n := c.lookahead.take(p)
+			if len(p) == 1 { // see below
+				c.startLookahead()
+			}
 			c.changed.Broadcast()
 			c.mu.Unlock()
 			return n, nil
@@ -183,8 +192,7 @@
 	// belongs to the next request.
 	if n == 1 && len(p) == 1 && err == nil {
 		c.mu.Lock()
-		c.lookaheadDone = make(chan struct{})
-		go c.readAhead(c.lookaheadDone)
+		c.startLookahead()
 		c.mu.Unlock()
 	}
 	return n, err
--- a/caller/lookahead_test.go
+++ b/caller/lookahead_test.go
@@ -144,6 +144,28 @@
 	})
 }
 
+// TestLookaheadGoesOnAfterAbort guards against callers whose disconnect is not detected while requests are pending, because net/http has aborted an earlier read.
+func TestLookaheadGoesOnAfterAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newAheadConn(t)
+		c.send(t, 10)
+		for _, d := range []time.Time{time.Unix(1, 0), {}} {
+			if err := c.SetReadDeadline(d); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+		}
+		take(t, c.Conn, 1)
+		_ = c.near.Close()
+		synctest.Wait()
+		select {
+		case <-c.left:
+		default:
+			t.Error("the disconnect was not detected")
+		}
+	})
+}
+
 // TestRequestLeavesQueueWithCallerBehindFullLookahead guards against requests that wait on after their callers have left because nothing more is read ahead.
 func TestRequestLeavesQueueWithCallerBehindFullLookahead(t *testing.T) {
 	fillLookaheads(t)
