--- a/caller/connection.go
+++ b/caller/connection.go
@@ -124,6 +124,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.startLookahead()
+}
+
+// startLookahead starts the lookahead unless it runs or has ended with the connection.
+// c.mu is held.
+func (c *Connection) startLookahead() {
 	if c.lookaheadDone == nil && c.lookaheadErr == nil {
 		c.lookaheadDone = make(chan struct{})
 		go c.readAhead(c.lookaheadDone)
@@ -166,6 +172,9 @@
 	for {
 		if !c.lookahead.isEmpty() {
 			n := c.lookahead.take(p)
+			if len(p) == 1 { // see below
+				c.startLookahead()
+			}
 			c.changed.Broadcast()
 			c.mu.Unlock()
 			if next {
@@ -191,8 +200,7 @@
 	if n == 1 && next && err == nil {
 		c.progress.beginNext()
 		c.mu.Lock()
-		c.lookaheadDone = make(chan struct{})
-		go c.readAhead(c.lookaheadDone)
+		c.startLookahead()
 		c.mu.Unlock()
 	}
 	return n, err
