--- a/caller/connection.go
+++ b/caller/connection.go
@@ -172,7 +172,7 @@
 	for {
 		if !c.lookahead.isEmpty() {
 			n := c.lookahead.take(p)
-			if len(p) == 1 { // see below
+			if next {
 				c.startLookahead()
 			}
 			c.changed.Broadcast()
