daemon: tell a byte of the next request by the state of the connection

What callers saw: a daemon that stops may keep an idle connection until its drain limit, although nothing is in flight, and then closes it whether or not a request is arriving.

Cause: keptConn took each read with a buffer of one byte for net/http's watch during a request, hence for the first byte of the next one. But net/http also looks at the first 14 bytes of a connection for the preface of HTTP/2, with a limit on its reads. If 13 of them came alone, the next read has a buffer of one byte. From then on the connection counted as one whose next request is being read, and finish() waited for it.

Evidence, before the change, with a limit of 20 s:

--- FAIL: TestFinishClosesConnectionWhoseFirstBytesCameAlone (20.01s) kept_test.go:146: the drain did not end before its limit --- FAIL: TestKeptConnClosesOnlyBetweenRequests/ a_request_has_ended_whose_headers_were_read_so kept_test.go:254: closed: got false, want true

TestFinish, TestKept, TestConnection passed three times each, the tests of daemon once.

--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -20,6 +20,7 @@
 
 	mu          sync.Mutex
 	read        bool // whether bytes of a request have been read
+	served      bool // whether the headers of a request have been read and it has not ended
 	nextBegun   bool // whether a byte of the request after the current one has been read
 	multiplexed bool // whether it is an HTTP/2 connection
 	closed      bool // whether closeUnread has closed it
@@ -51,22 +52,22 @@
 	if !c.read && bytes.HasPrefix(p[:n], []byte(http2Preface)) {
 		c.multiplexed = true
 	}
-	// net/http reads a single byte only while it serves a request.
-	if len(p) == 1 {
+	// While net/http serves a request, it reads a single byte of the next one.
+	if c.served && len(p) == 1 {
 		c.nextBegun = true
 	}
 	c.read = true
 	return n, err
 }
 
-// setState records that the connection is idle: the current request has ended.
+// setState records that a request is served, or that the current one has ended.
 func (c *keptConn) setState(s http.ConnState) {
-	if s != http.StateIdle {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read, c.nextBegun = c.nextBegun, false
+	c.served = s == http.StateActive
+	if s == http.StateIdle {
+		c.read, c.nextBegun = c.nextBegun, false
+	}
 }
 
 // closeUnread closes the connection and reports true if no byte of a next request
--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -116,6 +116,37 @@
 	}
 }
 
+// TestFinishClosesConnectionWhoseFirstBytesCameAlone guards against a drain that waits for a request which has not begun: net/http asks for a single byte more if that many are missing to tell HTTP/2 by its preface.
+func TestFinishClosesConnectionWhoseFirstBytesCameAlone(t *testing.T) {
+	t.Parallel()
+	v, a := echoServer(t)
+	n, err := net.Dial("tcp", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	first := len("PRI * HTTP/2.0") - 1
+	if _, err := io.WriteString(n, request[:first]); err != nil {
+		t.Fatal(err)
+	}
+	awaitRead(t, v)
+	if _, err := io.WriteString(n, request[first:]); err != nil {
+		t.Fatal(err)
+	}
+	p, err := http.ReadResponse(bufio.NewReader(n), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = p.Body.Close()
+	x, stop := context.WithTimeout(context.Background(), finishTimeout)
+	defer stop()
+	v.finish(x)
+	if x.Err() != nil {
+		t.Error("the drain did not end before its limit")
+	}
+}
+
 // TestKeptConnStaysOpenWhenARequestHasArrived guards against a close that resets the connection under a request that has arrived and was not read.
 func TestKeptConnStaysOpenWhenARequestHasArrived(t *testing.T) {
 	t.Parallel()
@@ -178,19 +209,27 @@
 	return false
 }
 
+// What net/http reports between the reads of TestKeptConnClosesOnlyBetweenRequests.
+const (
+	headersRead  = -1
+	requestEnded = 0
+)
+
 // TestKeptConnClosesOnlyBetweenRequests holds for each order of reads and of the end of a request.
 func TestKeptConnClosesOnlyBetweenRequests(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		reads []int // the buffer of each read of one byte, in bytes; 0 for the end of a request
+		reads []int // the buffer of each read of one byte, in bytes; headersRead and requestEnded between
 		want  bool
 	}{
 		{"nothing was read", nil, true},
 		{"a request is being read", []int{9}, false},
-		{"a request has ended", []int{9, 0}, true},
-		{"the next request has begun", []int{9, 1, 0}, false},
-		{"the next request has ended", []int{9, 1, 0, 9, 0}, true},
-		{"the second request is being read", []int{9, 0, 9}, false},
+		{"a request has ended", []int{9, headersRead, requestEnded}, true},
+		{"the next request has begun", []int{9, headersRead, 1, requestEnded}, false},
+		{"the next request has ended", []int{9, headersRead, 1, requestEnded, 9, headersRead, requestEnded}, true},
+		{"the second request is being read", []int{9, headersRead, requestEnded, 9}, false},
+		{"the headers are read with a buffer of one byte", []int{9, 1}, false},
+		{"a request has ended whose headers were read so", []int{9, 1, headersRead, requestEnded}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			near, far := net.Pipe()
@@ -198,7 +237,11 @@
 			k := &keptConn{Conn: far}
 			defer func() { _ = k.Close() }()
 			for _, n := range c.reads {
-				if n == 0 {
+				switch n {
+				case headersRead:
+					k.setState(http.StateActive)
+					continue
+				case requestEnded:
 					k.setState(http.StateIdle)
 					continue
 				}
