daemon: serve an older version until the content of the newest arrives

While a daemon is short of processor time, control requests wait 0 to 20 ms for their goroutine, and the head of a version is known 0.2 s after its acknowledgement. What is late is its content, which comes from a peer: with a version every 0.2 s the target had moved on each time that a content arrived, and the content was not used. nottingham-4 served version 10 until 12.4 s, knew 19, 27, 38 and 47 meanwhile, had the content of 27 at 10.867 s and that of 38 at 11.430 s, and answered a probe as of 10 at 11.635 s; 19 was acknowledged at 9.420 s.

Now a daemon with a managed configuration serves the newest version whose content is here. All its contents are accepted: they are known by heads that name them, which are made of what the store has accepted. With figwheel's own interface a content may be that of a proposal, and the first version after a start must be the newest that is known: there nothing changes. FE205 says which version was known as the newest.

Ruled out: the wait of the control goroutine (longest wait in a quarter of a second: 0 to 20 ms on the two daemons), the read of the store (Get 33 to 122 ms, decode and merge 4 to 89 ms on the pollers nottingham-2 and -3).

The test failed before: TestManagedServesOlderVersionUntilNewestArrives: serves version 1, want 2

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -212,6 +212,12 @@
 	deltas     sync.Map // of func() ([]byte, error), by the hash of the base
 }
 
+// number returns the number of a managed configuration, 0 for any other.
+func (k *content) number() uint64 {
+	t, _ := k.config.(site.Table)
+	return t.Number
+}
+
 // newContent returns the content of that hash, not compiled.
 func newContent(hash string, data []byte) *content {
 	return &content{
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -57,7 +57,7 @@
 	c.publish()
 }
 
-// advance activates the target release if its content is here, and fetches the
+// advance activates the newest release whose content is here, and fetches the
 // contents of the target and of the proposal that are missing.
 func (c *control) advance() {
 	if c.known.Target.Number > c.serving.Number() {
@@ -78,17 +78,38 @@
 	return c.controlObjectsRead
 }
 
-// activate serves the target release if its content is here, can be served at
+// newestHere returns the release to serve and its content: the target, or the newest
+// one before it if the content of the target is not here. Daemons that are short of
+// processor time may know of a newer target each time that a content arrives. The
+// content is nil if there is none to serve.
+func (c *control) newestHere() (change.Release, *content) {
+	r := c.known.Target
+	k := c.contents[r.Content]
+	// Unless the configuration is managed, a content may be that of a proposal. The
+	// first release after a start must not be older than what is known.
+	if k != nil || !c.d.isManaged() || c.serving == nil {
+		return r, k
+	}
+	r = change.Release{Number: c.serving.Number()}
+	for h, v := range c.contents {
+		if n := v.number(); n > r.Number && n < c.known.Target.Number && v.refusal == nil {
+			r, k = change.Release{Number: n, Content: h}, v
+		}
+	}
+	return r, k
+}
+
+// activate serves the newest release whose content is here, if it can be served at
 // this site and, for the first release after a start, change.MayServe allows it.
 func (c *control) activate() {
-	k, ok := c.contents[c.known.Target.Content]
-	if !ok || k.refusal != nil {
+	r, k := c.newestHere()
+	if k == nil || k.refusal != nil {
 		return
 	}
 	if c.serving == nil && !change.MayServe(c.inForceKnown(), c.known.Head, len(c.answeredPeers), len(c.table.Live())-1) {
 		return
 	}
-	s, err := k.config.Snapshot(c.d.settings.Site, c.known.Target.Number, c.known.Target.Content)
+	s, err := k.config.Snapshot(c.d.settings.Site, r.Number, r.Content)
 	if err != nil {
 		return
 	}
@@ -99,7 +120,7 @@
 	c.viewOutdated = true
 	c.prune()
 	c.updateSelf(now)
-	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", c.known.Target.ChangeID))
+	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", r.ChangeID), slog.Uint64("Newest", c.known.Target.Number))
 	if first {
 		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
 		c.askWorker()
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -378,3 +378,25 @@
 	}
 	t.Logf("%d calls of %d daemons", calls, instances)
 }
+
+// TestManagedServesOlderVersionUntilNewestArrives guards against a daemon that serves none of several versions because each is replaced before its content arrives.
+func TestManagedServesOlderVersionUntilNewestArrives(t *testing.T) {
+	m := newManagedFleet(t, 1)
+	m.waitServing(1)
+	d := m.daemons[0]
+	b, err := site.Table{Number: 2}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := t.Context()
+	_ = d.do(x, func(c *control) { c.mergeHead(managedHead(2, site.Hash(b))) })
+	_ = d.do(x, func(c *control) { c.mergeHead(managedHead(3, "not here")) })
+	if _, err := d.addContent(x, site.Hash(b), fetched{data: b}); err != nil {
+		t.Fatal(err)
+	}
+	var got uint64
+	_ = d.do(x, func(c *control) { got = c.serving.Number() })
+	if got != 2 {
+		t.Errorf("serves version %d, want 2", got)
+	}
+}
