daemon: read the store when no peer sends the content of a version

The daemon asks one peer after the other, each for up to a second, and those are short of processor time, have no descriptors, or do not have the content either. Three daemons read the store at a fixed interval. Any other does so only when its newest confirmation is 1.25 s old: but the confirmations of the version that it does not have went on to arrive, and were never older than 1.1 s.

Now a daemon that has heard of a newer version and has been without its content for 0.4 s reads the store itself, within the limits that hold for such reads: at least 0.75 s apart, and in a large fleet 100 a second of all daemons together.

Ruled out: a longer list of peers, or several at a time: under such a load each exchange costs both sides, and the store answers in 4 ms.

The test failed before: TestManagedReadsPlatformWhenNoPeerHasContent: not within 30s: the daemon reads version 2

--- a/change/poll.go
+++ b/change/poll.go
@@ -15,6 +15,7 @@
 	lastConfirmed time.Time // latest time at which the store is known to have had nothing newer
 	lastRead      time.Time // start of this daemon's last read
 	failures      int       // consecutive failed reads
+	missingSince  time.Time // since when a configuration that the daemon has heard of is not here, zero if none is
 }
 
 const (
@@ -30,6 +31,13 @@
 	// are then lost or cut off.
 	ConfirmationAgeMax = 1250 * time.Millisecond
 
+	// MissingTimeMax is how long the content of a configuration that a daemon has
+	// heard of may be missing before the daemon reads the store itself: the peers
+	// that should have sent it do not have it either, or are short of processor
+	// time. They confirm the configuration all the same, so that the age of the
+	// newest confirmation does not show it.
+	MissingTimeMax = 400 * time.Millisecond
+
 	// RefreshAge is the age of the newest confirmation from which a daemon
 	// requests a newer one from a peer. It is less than ConfirmationAgeMax because
 	// a read of the store costs more than a message, and is needed only if no peer
@@ -69,6 +77,25 @@
 	}
 }
 
+// SetMissing records whether the content of a configuration that the daemon has heard
+// of is missing at now.
+func (p *Poll) SetMissing(missing bool, now time.Time) {
+	switch {
+	case !missing:
+		p.missingSince = time.Time{}
+	case p.missingSince.IsZero():
+		p.missingSince = now
+	}
+}
+
+// MissingFor returns how long a content has been missing at now, 0 if none is.
+func (p *Poll) MissingFor(now time.Time) time.Duration {
+	if p.missingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(p.missingSince)
+}
+
 // ReadStarted records that a read starts at now.
 func (p *Poll) ReadStarted(now time.Time) { p.lastRead = now }
 
@@ -97,7 +124,7 @@
 	}
 	wait := float64(PollInterval)
 	if rank < 0 || rank >= Pollers {
-		if now.Sub(p.lastConfirmed) < ConfirmationAgeMax {
+		if now.Sub(p.lastConfirmed) < ConfirmationAgeMax && p.MissingFor(now) < MissingTimeMax {
 			return false
 		}
 		wait = max(wait, float64(live)/storeReadsPerSecondMax*float64(time.Second))
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -60,10 +60,12 @@
 // advance activates the newest release whose content is here, and fetches the
 // contents of the target and of the proposal that are missing.
 func (c *control) advance() {
-	if c.known.Target.Number > c.serving.Number() {
-		c.fetchInBackground(c.known.Target.Content, c.serving != nil)
+	t := c.known.Target
+	if t.Number > c.serving.Number() {
+		c.fetchInBackground(t.Content, c.serving != nil)
 		c.activate()
 	}
+	c.poll.SetMissing(t.Number > c.serving.Number() && c.contents[t.Content] == nil, c.d.now())
 	if c.known.Head.HasProposal() {
 		c.fetchInBackground(c.known.Head.Proposed.Content, true)
 	}
@@ -115,12 +117,13 @@
 	}
 	first := c.serving == nil
 	now := c.d.now()
+	missing := c.poll.MissingFor(now)
 	c.serving = s
 	c.d.activatedAt.Store(&now)
 	c.viewOutdated = true
 	c.prune()
 	c.updateSelf(now)
-	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", r.ChangeID), slog.Uint64("Newest", c.known.Target.Number))
+	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", r.ChangeID), slog.Uint64("Newest", c.known.Target.Number), slog.Duration("Missing", missing))
 	if first {
 		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
 		c.askWorker()
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -400,3 +400,35 @@
 		t.Errorf("serves version %d, want 2", got)
 	}
 }
+
+// TestManagedReadsPlatformWhenNoPeerHasContent guards against a daemon that goes on without a version that it has heard of, as peers confirm that version and do not send it.
+func TestManagedReadsPlatformWhenNoPeerHasContent(t *testing.T) {
+	m := newManagedFleet(t, 6)
+	m.waitServing(1)
+	m.waitAgreed()
+	var d *Daemon
+	for _, v := range m.daemons {
+		rank := 0
+		_ = v.do(t.Context(), func(c *control) { rank = c.table.Rank("", configRankKey, v.settings.Instance) })
+		if rank >= change.Pollers {
+			d = v
+		}
+	}
+	for n, p := range m.partitioned {
+		p.Store(n != d.settings.Instance)
+	}
+	m.write(2)
+	o, err := m.store.Get(t.Context(), "config/main")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.wait("the daemon reads version 2", func() bool {
+		served := uint64(0)
+		_ = d.do(t.Context(), func(c *control) {
+			c.mergeHead(managedHead(2, site.Hash(o.Value)))
+			c.confirm(time.Now())
+			served = c.serving.Number()
+		})
+		return served == 2
+	})
+}
--- a/event/event.go
+++ b/event/event.go
@@ -98,7 +98,7 @@
 	{Staged, "Staged", slog.LevelInfo, "This instance compiled a proposed configuration."},
 	{Refused, "Refused", slog.LevelWarn, "A proposed change was refused; nothing changed."},
 	{Accepted, "Accepted", slog.LevelInfo, "A change was accepted."},
-	{Activated, "Activated", slog.LevelInfo, "This instance serves a newer version; Newest is the newest that it knows of."},
+	{Activated, "Activated", slog.LevelInfo, "This instance serves a newer version; Newest is the newest that it knows of, Missing for how long it has known of one whose content was not here."},
 	{InForce, "InForce", slog.LevelInfo, "Every live instance serves the accepted version."},
 	{TakenOver, "TakenOver", slog.LevelWarn, "This daemon finishes a change whose coordinator is gone."},
 	{ContentFetched, "ContentFetched", slog.LevelDebug, "A content was fetched by its hash."},
