caller: drop connections whose callers have left before they are accepted

A read of the store took 1.4 s and 4.7 s until its time-out of 1 s was noticed. Timers and the control goroutine are not affected, as the scheduler takes them first. Most of these connections are of callers that left after 0.15 s; each cost its whole request before the daemon noticed.

Now a connection of which the other side is closed when it is accepted is closed at once: by the check that is made before a request is sent on. It costs some system calls in place of a goroutine, buffers, a parsed request, a choice of an instance and an answer to nobody. A caller that shuts down its writing side and reads on counts as having left, as it did before in each wait.

The test failed before: TestListenerDropsConnectionsOfCallersThatHaveLeft: accepted the connection of 127.0.0.1:48360, want that of 127.0.0.1:48388, which waits

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -67,7 +67,9 @@
 }
 
 // Listener is a net.Listener that wraps each accepted connection in a
-// Connection.
+// Connection. It closes connections whose callers have disconnected meanwhile: a
+// daemon that is behind has many in its accept queue, and to read the request of each
+// would cost much more.
 type Listener struct {
 	net.Listener
 	// Cut is called when a connection ends under a request that was read and not
@@ -77,13 +79,19 @@
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		n := newConnection(c)
+		if n.raw != nil && n.hasLeft() {
+			_ = c.Close()
+			continue
+		}
+		n.cut = l.Cut
+		return n, nil
 	}
-	n := newConnection(c)
-	n.cut = l.Cut
-	return n, nil
 }
 
 // ConnContext returns the context for the requests of a connection, which is
--- a/caller/left_test.go
+++ b/caller/left_test.go
@@ -444,3 +444,35 @@
 		})
 	}
 }
+
+// TestListenerDropsConnectionsOfCallersThatHaveLeft guards against a daemon that is behind and reads the requests of callers that have left before those of callers that wait.
+func TestListenerDropsConnectionsOfCallersThatHaveLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	dial := func(linger int) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.(*net.TCPConn).SetLinger(linger)
+		return c
+	}
+	_ = dial(-1).Close()
+	_ = dial(0).Close() // by reset
+	waits := dial(-1)
+	defer func() { _ = waits.Close() }()
+	got, err := caller.Listener{Listener: l}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = got.Close() }()
+	if g, w := got.RemoteAddr().String(), waits.LocalAddr().String(); g != w {
+		t.Errorf("accepted the connection of %s, want that of %s, which waits", g, w)
+	}
+}
