--- a/link/choose.go
+++ b/link/choose.go
@@ -195,12 +195,12 @@
 
 // ChooseIf is like Choose, but leaves out the candidates for which usable returns false.
 func (c Candidates) ChooseIf(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration, usable func(k *Candidate) bool) *Candidate {
-	b := choice{now: instantOf(now), kind: kind, far: far, tried: tried, usable: usable, mean: serviceTimeDefault}
+	b := choice{now: instantOf(now), kind: kind, far: far, tried: tried, mean: serviceTimeDefault}
 	if h := c.kindServiceTime(kind, b.now); h > 0 {
 		b.mean = time.Duration(unknownTimeFactor * float64(h))
 	}
-	b.scan(c.all[:c.near], r)
-	b.scan(c.all[c.near:], r)
+	b.scan(c.all[:c.near], r, usable)
+	b.scan(c.all[c.near:], r, usable)
 	return b.candidate
 }
 
@@ -211,13 +211,12 @@
 	kind      string
 	mean, far time.Duration
 	tried     []string
-	usable    func(k *Candidate) bool
 	candidate *Candidate
 	cost      time.Duration
 }
 
-// scan compares up to comparedMax candidates of l, starting at a random one.
-func (b *choice) scan(l []Candidate, r *rand.Rand) {
+// scan compares up to comparedMax usable candidates of l, starting at a random one.
+func (b *choice) scan(l []Candidate, r *rand.Rand, usable func(k *Candidate) bool) {
 	n := len(l)
 	if n == 0 {
 		return
@@ -225,7 +224,7 @@
 	first, compared := r.IntN(n), 0
 	for i := range n {
 		k := &l[(first+i)%n]
-		if slices.Contains(b.tried, k.Name) || !b.usable(k) {
+		if slices.Contains(b.tried, k.Name) || !usable(k) {
 			continue
 		}
 		if d := k.cost(b.now, b.kind, b.mean, b.far); b.candidate == nil || d < b.cost {
