caller: count the run before the copy in TestCopyOfRefusalWithoutID

The test failed in 117 of 3000 runs, -cpu 2, beside other work: "0 runs: {Status:502 Outcome:unknown Code:FW3017 ...}". The answer is the wanted one. The stand-in of the worker wrote the copy of the refusal, for which the daemon answers the caller at once, before it counted the run.

--- a/caller/refusal_test.go
+++ b/caller/refusal_test.go
@@ -77,9 +77,11 @@
 	var arrivals, runs atomic.Int64
 	w := platformWorker(t, &arrivals, func(c net.Conn, q *http.Request) {
 		id := q.Header.Get("Figwheel-Attempt-Id")
-		_, _ = io.WriteString(c, refusal)
 		if id != "" {
 			runs.Add(1)
+		}
+		_, _ = io.WriteString(c, refusal)
+		if id != "" {
 			reply(c, "200 OK", "Figwheel-Attempt-Id: "+id+"\r\nFigwheel-Server-Seal: s\r\n", "whole")
 		}
 	})
