--- a/caller/connection.go
+++ b/caller/connection.go
@@ -67,7 +67,9 @@
 }
 
 // Listener is a net.Listener that wraps each accepted connection in a
-// Connection.
+// Connection. It closes connections whose callers have disconnected meanwhile: a
+// daemon that is behind has many in its accept queue, and to read the request of each
+// would cost much more.
 type Listener struct {
 	net.Listener
 	// Cut is called when a connection ends under a request that was read and not
@@ -77,13 +79,19 @@
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		n := newConnection(c)
+		if n.raw != nil && n.hasLeft() {
+			_ = c.Close()
+			continue
+		}
+		n.cut = l.Cut
+		return n, nil
 	}
-	n := newConnection(c)
-	n.cut = l.Cut
-	return n, nil
 }
 
 // ConnContext returns the context for the requests of a connection, which is
@@ -124,6 +132,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.startLookahead()
+}
+
+// startLookahead starts the lookahead unless it runs or has ended with the connection.
+// c.mu is held.
+func (c *Connection) startLookahead() {
 	if c.lookaheadDone == nil && c.lookaheadErr == nil {
 		c.lookaheadDone = make(chan struct{})
 		go c.readAhead(c.lookaheadDone)
@@ -156,12 +170,24 @@
 
 // Read implements net.Conn.
 func (c *Connection) Read(p []byte) (int, error) {
+	// net/http reads a single byte only while it serves a request: the byte
+	// belongs to the next request.
+	next := len(p) == 1
+	if !next {
+		c.progress.awaitNext()
+	}
 	c.mu.Lock()
 	for {
 		if !c.lookahead.isEmpty() {
 			n := c.lookahead.take(p)
+			if next {
+				c.startLookahead()
+			}
 			c.changed.Broadcast()
 			c.mu.Unlock()
+			if next {
+				c.progress.beginNext()
+			}
 			return n, nil
 		}
 		if err := c.lookaheadErr; err != nil {
@@ -179,12 +205,10 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.progress.read(n, err)
-	// net/http reads a single byte only while it serves a request: the byte
-	// belongs to the next request.
-	if n == 1 && len(p) == 1 && err == nil {
+	if n == 1 && next && err == nil {
+		c.progress.beginNext()
 		c.mu.Lock()
-		c.lookaheadDone = make(chan struct{})
-		go c.readAhead(c.lookaheadDone)
+		c.startLookahead()
 		c.mu.Unlock()
 	}
 	return n, err
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -30,7 +31,7 @@
 	linkIdleTimeout    = 30 * time.Second
 	leaveNoticeDelay   = 300 * time.Millisecond // for the draining state to reach the other instances
 	drainPollInterval  = 10 * time.Millisecond
-	leaveNoticeTimeout = time.Second
+	leaveNoticeTimeout = 500 * time.Millisecond  // within the time from the drain limit until the process is killed
 	notReadyAnswersMin = 2                       // a daemon gets no new callers after so many answers that it is not ready
 	notReadyTimeout    = 2500 * time.Millisecond // for those answers; readiness is polled once a second
 )
@@ -92,6 +93,7 @@
 	daemon  *Daemon
 	work    []*server
 	control []*server
+	idle    idleConnections // of the servers in work
 	group   errgroup.Group
 }
 
@@ -99,6 +101,31 @@
 	*http.Server
 	listener    *drainingListener
 	connections *connections
+	idleTimeout func() time.Duration // of a server in work; nil is the constant idleTimeout
+}
+
+// expireIdle closes connections of the servers in work that have been idle for too
+// long, until x ends. It closes done when it returns. It is not left to
+// http.Server.IdleTimeout, which cannot change while the server runs, and closes a
+// connection also when a request has arrived and was not read.
+func (s *servers) expireIdle(x context.Context, done chan<- struct{}) {
+	defer close(done)
+	for pause(x, idleCheckInterval) {
+		now := time.Now()
+		for _, v := range s.work {
+			t := idleTimeout
+			if v.idleTimeout != nil {
+				t = v.idleTimeout()
+			}
+			v.connections.closeExpired(now, t)
+		}
+	}
+}
+
+// callerIdleTimeout returns how long a caller's connection may be idle: the limit of
+// the configuration, or idleTimeout if that sets none.
+func (d *Daemon) callerIdleTimeout() time.Duration {
+	return cmp.Or(d.View().Snapshot.Limits().IdleTime, idleTimeout)
 }
 
 // finish stops listening, waits until every request is answered, and closes each
@@ -114,7 +141,9 @@
 // daemons send requests. The function cut may be nil, see caller.Listener.
 func (s *servers) startWork(a net.Listener, h http.Handler, cut func(caller.Cut)) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, connContext)
+	c := &connections{}
+	s.idle.add(c)
+	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, 0, c, connContext)
 }
 
 // connContext is caller.ConnContext for connections of a keptListener.
@@ -128,14 +157,14 @@
 // start starts a server that serves the connections of a with h.
 func (s *servers) start(a net.Listener, h http.Handler) *server {
 	l := newDrainingListener(a)
-	return s.serve(l, l, h, nil)
+	return s.serve(l, l, h, idleTimeout, &connections{}, nil)
 }
 
-// serve starts a server that serves the connections of o with h. The listener o
-// accepts its connections from l. The function x may be nil, see
+// serve starts a server that serves the connections of o with h and tracks them in c.
+// The listener o accepts its connections from l. net/http closes a connection that has
+// been idle for the time idle, 0 for none. The function x may be nil, see
 // http.Server.ConnContext.
-func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, x func(context.Context, net.Conn) context.Context) *server {
-	c := &connections{}
+func (s *servers) serve(l *drainingListener, o net.Listener, h http.Handler, idle time.Duration, c *connections, x func(context.Context, net.Conn) context.Context) *server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
@@ -143,7 +172,7 @@
 		Handler:           s.daemon.logPanics(h),
 		Protocols:         &p,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       idle,
 		MaxHeaderBytes:    headerBytesMax,
 		ConnState:         c.setState,
 		ConnContext:       x,
@@ -151,12 +180,12 @@
 	}
 	s.group.Go(func() error {
 		defer close(l.acceptEnded)
-		if err := v.Serve(o); !errors.Is(err, http.ErrServerClosed) {
+		if err := v.Serve(&acceptListener{Listener: o, daemon: s.daemon, idle: &s.idle}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	return &server{v, l, c}
+	return &server{Server: v, listener: l, connections: c}
 }
 
 // logPanics returns a handler that logs panics of h and then aborts the request,
@@ -181,9 +210,22 @@
 func (d *Daemon) serve() *servers {
 	t := hop.NewTransport(0, linkDialTimeout, linkIdleTimeout)
 	s := &servers{daemon: d}
+	s.idle.limit = connectionsMax()
 	e := d.edge.Headers
+	calls := s.startWork(d.listeners.call, &caller.Handler{
+		Daemon:           d,
+		Worker:           &d.worker,
+		Transport:        t,
+		Record:           recorder{d},
+		Now:              d.now,
+		Random:           d.randomPool(),
+		Headers:          e,
+		Origin:           d.settings.Service,
+		ForwardedWaitMax: contract.ForwardedWaitMax(time.Duration(d.settings.DrainLimit)),
+	}, d.recordCut)
+	calls.idleTimeout = d.callerIdleTimeout
 	s.work = []*server{
-		s.startWork(d.listeners.call, &caller.Handler{Daemon: d, Worker: &d.worker, Transport: t, Record: recorder{d}, Now: d.now, Random: d.randomPool(), Headers: e, Origin: d.settings.Service}, d.recordCut),
+		calls,
 		s.startWork(d.listeners.link, &caller.LinkHandler{Daemon: d, Worker: &d.worker, Now: d.now, Headers: e, Abandoned: d.logAbandoned}, nil),
 	}
 	p := http.NewServeMux()
@@ -263,6 +305,8 @@
 	c := newControl(y, d)
 	go c.loop(y, done)
 	s := d.serve()
+	expiryEnded := make(chan struct{})
+	go s.expireIdle(y, expiryEnded)
 	d.event(y, event.Started, slog.String("Site", d.settings.Site), slog.String("CallAddress", d.settings.CallAddress), slog.String("OperatorAddress", d.settings.OperatorAddress))
 	select {
 	case <-x.Done():
@@ -271,6 +315,7 @@
 	}
 	stop()
 	<-done
+	<-expiryEnded
 	for _, v := range slices.Concat(s.work, s.control) {
 		_ = v.Close()
 	}
@@ -288,9 +333,9 @@
 // the worker sends its own calls to it. Last, the servers are closed, which have no
 // requests by then. Before the limit, the requests that wait are given up in time for
 // an answer; one that runs is left to its worker until the limit.
-func (d *Daemon) leave(x context.Context, s *servers) {
+func (d *Daemon) leave(y context.Context, s *servers) {
 	limit := time.Duration(d.settings.DrainLimit)
-	x, stop := context.WithTimeout(x, limit)
+	x, stop := context.WithTimeout(y, limit)
 	defer stop()
 	e := contract.Drain{End: d.now().Add(limit)}
 	d.worker.SetDrain(e, d.now())
@@ -313,9 +358,10 @@
 	}
 	g.Wait()
 	for _, v := range s.work {
-		_ = v.Close()
+		g.Go(func() { _ = v.Close() }) // may linger, see caller.Connection
 	}
-	d.announceLeft(x)
+	d.announceLeft(y)
+	g.Wait()
 }
 
 // awaitNotReadyAnswers makes the readiness handler answer that this daemon is not
--- a/event/event.go
+++ b/event/event.go
@@ -19,6 +19,7 @@
 	Reloaded
 	LinesDropped
 	SettingsRefused
+	AcceptFailed
 )
 
 // Events of changes.
@@ -92,11 +93,12 @@
 	{Reloaded, "Reloaded", slog.LevelInfo, "The settings file has changed; the settings that can change at run time are applied."},
 	{LinesDropped, "LinesDropped", slog.LevelWarn, "Log lines came faster than they could be written and were dropped."},
 	{SettingsRefused, "SettingsRefused", slog.LevelWarn, "The changed settings are invalid; the daemon keeps the previous ones."},
+	{AcceptFailed, "AcceptFailed", slog.LevelWarn, "Connections could not be accepted, mostly because no descriptor was free; Failures is their number at this address since the line before, Closed the number of idle connections that were closed to free descriptors."},
 	{Proposed, "Proposed", slog.LevelInfo, "A change was proposed and is being staged."},
 	{Staged, "Staged", slog.LevelInfo, "This instance compiled a proposed configuration."},
 	{Refused, "Refused", slog.LevelWarn, "A proposed change was refused; nothing changed."},
 	{Accepted, "Accepted", slog.LevelInfo, "A change was accepted."},
-	{Activated, "Activated", slog.LevelInfo, "This instance serves a newer version."},
+	{Activated, "Activated", slog.LevelInfo, "This instance serves a newer version; Newest is the newest that it knows of, Missing for how long it has known of one whose content was not here."},
 	{InForce, "InForce", slog.LevelInfo, "Every live instance serves the accepted version."},
 	{TakenOver, "TakenOver", slog.LevelWarn, "This daemon finishes a change whose coordinator is gone."},
 	{ContentFetched, "ContentFetched", slog.LevelDebug, "A content was fetched by its hash."},
