caller: accept connections only after what is ready to run

Now Accept yields first: goroutines that are ready run before the next connection is taken, and the kernel's queue holds the rest.

Ruled out: a fixed number of requests in progress, as requests may last long with good reason.

The test failed before: TestAcceptRunsAfterReadyGoroutines: 1000 goroutines were ready when a connection was accepted, want at most 10

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,6 +71,11 @@
 // Connection. It closes connections whose callers have disconnected meanwhile: a
 // daemon that is behind has many in its accept queue, and to read the request of each
 // would cost much more.
+//
+// Before each accept it lets all goroutines run that are ready. As long as connections
+// wait in the accept queue, neither Accept nor the goroutines that follow from it block,
+// and the Go scheduler takes those before any goroutine whose bytes have arrived: before
+// answers to requests that were accepted earlier, and control traffic.
 type Listener struct {
 	net.Listener
 	// Cut is called when a connection ends under a request that was read and not
@@ -80,6 +86,7 @@
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
 	for {
+		runtime.Gosched()
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
--- a/caller/left_test.go
+++ b/caller/left_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -476,3 +477,28 @@
 		t.Errorf("accepted the connection of %s, want that of %s, which waits", g, w)
 	}
 }
+
+// endlessListener always has a connection to accept.
+type endlessListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (endlessListener) Accept() (net.Conn, error) { return struct{ net.Conn }{}, nil }
+
+// TestAcceptRunsAfterReadyGoroutines guards against a daemon that accepts connections without end while answers and control traffic wait for the processor.
+func TestAcceptRunsAfterReadyGoroutines(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const accepts, readyMax = 1000, 10
+	l := caller.Listener{Listener: endlessListener{}}
+	var most int64
+	var ready atomic.Int64
+	for range accepts {
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, ready.Add(1))
+		go ready.Add(-1)
+	}
+	if most > readyMax {
+		t.Errorf("%d goroutines were ready when a connection was accepted, want at most %d", most, readyMax)
+	}
+}
