daemon: stop listening in time for an answer to each request of a drain

What callers saw: EOF at the drain limit for a request that a daemon had read, and that reached no worker.

Cause: while its worker had requests in flight, the daemon listened until the limit. It then accepted the connections in its queue, as always, and closed them in the same moment.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -550,6 +550,44 @@
 	}
 }
 
+// TestDrainAnswersCallersUntilItStopsListening guards against a daemon that takes connections until its limit and closes them with requests on them that it has read.
+func TestDrainAnswersCallersUntilItStopsListening(t *testing.T) {
+	t.Parallel()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d, h := newHold(t, c)
+	defer close(h.release)
+	held := make(chan string, 64)
+	n := d.occupy(c, held)
+	stopped := d.stopAnnounced()
+	b := d.daemons[stopping]
+	<-b.worker.Waits().Done()
+	const callers = 8
+	results := make(chan attempt, callers)
+	for range callers {
+		go func() {
+			for {
+				v := try(c, b.Settings().CallAddress, "")
+				if !v.notRun {
+					results <- v
+					return
+				}
+			}
+		}()
+	}
+	for range callers {
+		if v := <-results; !v.away && !v.closed {
+			t.Errorf("got %q, want 503, not run, until the daemon stops listening", v.text)
+		}
+	}
+	<-stopped
+	for range n {
+		<-held
+	}
+	if k := b.cuts.Load(); k > int64(n) {
+		t.Errorf("the daemon closed %d connections under a request, want at most the %d at a worker", k, n)
+	}
+}
+
 // TestDrainAnswersWhatWaitsBeforeItsLimit guards against a stopping daemon that cuts off a request that waits for a worker, its own or another one.
 func TestDrainAnswersWhatWaitsBeforeItsLimit(t *testing.T) {
 	t.Parallel()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -286,8 +286,9 @@
 // this instance is draining and send it no more requests. From then on a request is
 // taken only if it ends before the limit; the address of callers stays open because
 // the worker sends its own calls to it. Last, the servers are closed, which have no
-// requests by then. Before the limit, the requests that wait are given up in time for
-// an answer; one that runs is left to its worker until the limit.
+// requests by then. Before the limit, the requests that wait are given up and listening
+// stops, in time for an answer to each request that was sent; one that runs is left to
+// its worker until the limit.
 func (d *Daemon) leave(y context.Context, s *servers) {
 	limit := time.Duration(d.settings.DrainLimit)
 	x, stop := context.WithTimeout(y, limit)
@@ -304,7 +305,7 @@
 	pause(x, leaveNoticeDelay)
 	e.Announced = true
 	d.worker.SetDrain(e, d.now())
-	for d.worker.InFlight() > 0 && pause(x, drainPollInterval) {
+	for w := d.worker.Waits(); d.worker.InFlight() > 0 && pause(w, drainPollInterval); {
 		continue
 	}
 	var g sync.WaitGroup
