hop: record the id of a request before the answer to it can be copied

What callers may see: "not run" for a request that a worker runs, if two requests with one id are sent to it at the same time and the worker writes its refusal of the first twice. The platform's callers use an id once.

Cause: net/http puts a connection back when it has read an answer without a body, before RoundTrip returns it. The id was recorded after that, so that the other request could get the connection, and its copy be checked, before.

The fix: the id is recorded when the request gets its connection and removed after its answer, unless that refuses it.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -108,6 +108,8 @@
 	requestID    string // see contract.Headers; empty if the request has none
 	refusedConns int    // connections that were avoided, see mustAvoid
 	passedOver   bool   // whether the last connection takes no further request, or not this one
+	repeated     bool   // whether the id was among conn.refusals before
+	refused      bool   // whether a refusal that names the id was proved to be of the request
 }
 
 // withTrace returns x with a trace that calls gotConn.
@@ -133,6 +135,7 @@
 	s.conn = c
 	s.writesBefore = c.writeCount()
 	s.passedOver = c.retired.Load() || s.mustAvoid(c)
+	s.repeated = s.requestID != "" && !c.refusals.add(s.requestID)
 	if s.passedOver {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -126,6 +126,7 @@
 	if h.Now != nil && s.reused && !b.isLarge() {
 		t = h.Now()
 	}
+	defer s.forget()
 	f := h.handleResponse(w, r, p, b, s)
 	if f.Code == result.WrongAnswer {
 		s.retire()
--- a/hop/refusal.go
+++ b/hop/refusal.go
@@ -28,24 +28,45 @@
 )
 
 // refusals holds hashes of the ids of the requests that were refused on a
-// connection. A faulty worker may write a refusal twice, and a request that was
-// refused is sent again with the same id: a second refusal of an id on a connection
-// proves nothing.
+// connection, and of the last ones, whose answers may still be unknown. A faulty
+// worker may write a refusal twice, and a request that was refused is sent again with
+// the same id: a second refusal of an id on a connection proves nothing.
 type refusals struct {
 	mu     sync.Mutex
 	hashes []uint64
 }
 
-// add adds the id and reports whether there is room for another one.
+// add adds the id and reports whether it was missing.
 func (s *refusals) add(id string) bool {
+	n := xxh3.HashString(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.hashes, n) {
+		return false
+	}
+	s.hashes = append(s.hashes, n)
+	return true
+}
+
+// remove removes the id.
+func (s *refusals) remove(id string) {
+	n := xxh3.HashString(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.hashes, n); i >= 0 {
+		s.hashes = slices.Delete(s.hashes, i, i+1)
+	}
+}
+
+// hasRoom reports whether there is room for another id.
+func (s *refusals) hasRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hashes = append(s.hashes, xxh3.HashString(id))
 	return len(s.hashes) < refusalsMax
 }
 
-// has reports whether a request with the id was refused. It may also do so for an
-// id whose hash is the same.
+// has reports whether the id is among them. It may also do so for an id whose hash is
+// the same.
 func (s *refusals) has(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,15 +90,25 @@
 	if s.conn == nil || s.untracked {
 		return false
 	}
-	if s.writesBefore > 0 && (id == "" || s.conn.refusals.has(id)) {
+	if s.writesBefore > 0 && (id == "" || s.repeated) {
 		return false
 	}
-	if id != "" && !s.conn.refusals.add(id) {
+	s.refused = id != ""
+	if !s.conn.refusals.hasRoom() {
 		s.retire()
 	}
 	return true
 }
 
+// forget removes the id of the request from those of its connection, unless the request
+// was refused. Until then it is one of them: net/http may reuse the connection before
+// the answer is checked.
+func (s *connTrace) forget() {
+	if s.conn != nil && s.requestID != "" && !s.repeated && !s.refused {
+		s.conn.refusals.remove(s.requestID)
+	}
+}
+
 // drain reads the body of the refusal p if it is short: otherwise each refusal would
 // cost a connection.
 func drain(p *http.Response) {
