--- a/daemon/kept_test.go
+++ b/daemon/kept_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -268,3 +269,49 @@
 		}
 	})
 }
+
+// TestKeptConnectionEndsLikeThatOfCaller guards against answers that a close discards, and cut ones that look whole, because net/http and the handlers cannot end the writing side or reset the connection.
+func TestKeptConnectionEndsLikeThatOfCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(t *testing.T, k net.Conn)
+		want error
+	}{
+		"the writing side is ended": {func(t *testing.T, k net.Conn) {
+			w, ok := k.(interface{ CloseWrite() error })
+			if !ok || w.CloseWrite() != nil {
+				t.Error("it cannot be ended")
+			}
+		}, io.EOF},
+		"it is reset": {func(t *testing.T, k net.Conn) {
+			l, ok := k.(interface{ SetLinger(seconds int) error })
+			if !ok || l.SetLinger(0) != nil || k.Close() != nil {
+				t.Error("it cannot be reset")
+			}
+		}, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			a, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = a.Close() }()
+			k, err := keptListener{caller.Listener{Listener: newDrainingListener(l)}}.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = k.Close() }()
+			c.end(t, k)
+			if err := a.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := a.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+				t.Errorf("the caller got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
