hop: ask for the caller again before a large body is sent

What callers saw: an upload between two daemons reaches a worker after its caller has left.

A daemon looks for the end of the caller's connection before it forwards the head of a request. A body from 8 KB on is sent only when the other daemon asks for it, which may be seconds later, and then nothing was asked again: a daemon that is short of processor time sends the body before it reads the end of the stream, and the other one sees no end either.

Now the connection is asked once more before the first byte of such a body. What was not sent has not run.

TestBodyAskedForLateNotSent failed before: "the worker got /left, want /last".

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -405,7 +405,7 @@
 	}
 	sent := now
 	cancelIfLeft(r)
-	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.Worker.Drain()), Now: h.Now}
+	p := hop.Hop{Transport: h.Transport, Address: k.Address, Daemon: true, Headers: h.Headers, Set: c.attemptHeaders(now.Add(transitTime(k, now)), h.Worker.Drain()), CancelIfLeft: func() { cancelIfLeft(r) }, Now: h.Now}
 	y, stop := h.untilWaitsEnd(x, c.body)
 	defer stop()
 	f := p.Do(y, w, r, c.body)
--- a/caller/left_test.go
+++ b/caller/left_test.go
@@ -378,6 +378,36 @@
 	}
 }
 
+// TestBodyAskedForLateNotSent guards against a large body that is sent to another daemon, and to its worker, when that asks for it after the caller has left: the daemon, short of processor time, has not read the end of the stream.
+func TestBodyAskedForLateNotSent(t *testing.T) {
+	s := lateServer{began: make(chan *blindConn, 8), goOn: make(chan struct{})}
+	close(s.goOn)
+	m := newMeshOn(t, false, s.start, startWatched)
+	m.worker.SetLink(100_000)
+	first := m.send(t, m.link, "POST /first HTTP/1.1\r\nHost: h.example\r\nFigwheel-Service: s\r\nFigwheel-Deadline-Ms: 60000\r\nExpect: 100-continue\r\nContent-Length: 60000\r\n\r\n")
+	if s, err := bufio.NewReader(first).ReadString('\n'); s != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("got %q, %v", s, err)
+	}
+	c := m.send(t, m.call, withLength(20<<10))
+	l := <-s.began
+	if !m.awaitLoad(2) {
+		t.Fatalf("load %d, want 2", m.load())
+	}
+	leave(c, false)
+	if !await(l.hasEnded) {
+		t.Fatal("the end of the stream did not arrive")
+	}
+	leave(first, false)
+	m.answer()
+	if !m.awaitLoad(0) {
+		t.Fatalf("load %d, want 0", m.load())
+	}
+	m.send(t, m.call, withoutBody("/last"))
+	if p := next(t, m.paths); p != "/last" {
+		t.Errorf("the worker got %s, want /last", p)
+	}
+}
+
 // pipeListener is a net.Listener of connections without buffers.
 type pipeListener chan net.Conn
 
--- a/hop/body.go
+++ b/hop/body.go
@@ -156,6 +156,23 @@
 // Close implements io.Closer.
 func (*bufferReader) Close() error { return nil }
 
+// checkedBody is a body whose first read fails if check does.
+type checkedBody struct {
+	io.ReadCloser
+	check func() error // nil after the first read
+}
+
+// Read implements io.Reader.
+func (r *checkedBody) Read(p []byte) (int, error) {
+	if r.check != nil {
+		if err := r.check(); err != nil {
+			return 0, err
+		}
+		r.check = nil
+	}
+	return r.ReadCloser.Read(p)
+}
+
 // Withheld reports whether a daemon to which the request was sent cannot have run
 // it: the transport has read nothing of its large body, and a daemon runs no
 // request without its body.
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -37,6 +37,9 @@
 	HoldBack bool
 	// Before is called with the response headers before they are sent; may be nil.
 	Before func(h http.Header)
+	// CancelIfLeft cancels the context of the request if its sender has disconnected. It
+	// is called before a body is sent for which a daemon has asked; may be nil.
+	CancelIfLeft func()
 	// Now returns the present time for Result.HeadAt; may be nil.
 	Now func() time.Time
 }
@@ -111,6 +114,12 @@
 	q := h.request(s.withTrace(x), r, d, b.length)
 	if h.Daemon && b.isLarge() {
 		q.Header["Expect"] = []string{"100-continue"}
+		if cancel := h.CancelIfLeft; cancel != nil {
+			q.Body = &checkedBody{ReadCloser: d, check: func() error {
+				cancel()
+				return x.Err()
+			}}
+		}
 	}
 	p, err := h.Transport.RoundTrip(q)
 	if err != nil {
