caller: report why a connection ends before it is closed

What the on-call engineer saw: FE503 of a connection that the daemon closes under a request at a worker may name stage "Answered" and a failed write, instead of stage "Attempt" and the close.

Cause: Close closed the connection and then reported. In between, the handler can notice the end, and the failure of its write is reported as the cause.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -349,8 +349,9 @@
 		c.linger(t)
 	}
 	unread := HasUnreadBytes(c.Conn)
+	cut, ok := c.progress.close(unread) // before a Write fails, which is only a consequence
 	err := c.Conn.Close()
-	c.report(c.progress.close(unread))
+	c.report(cut, ok)
 	c.mu.Lock()
 	done := c.lookaheadDone
 	if c.lookaheadErr == nil {
