--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -40,6 +40,22 @@
 	return s
 }
 
+// heldMax is the number of requests that the worker of startHolding holds at a time.
+const heldMax = 4
+
+// startHolding starts a worker that says on began that it has a request and answers it
+// once release is closed.
+func startHolding(t *testing.T) (w *httptest.Server, began <-chan struct{}, release chan struct{}) {
+	t.Helper()
+	b, release := make(chan struct{}, heldMax), make(chan struct{})
+	w = start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b <- struct{}{}
+		<-release
+		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
+	}))
+	return w, b, release
+}
+
 // localNode returns a daemon whose only instance of s is the worker at the address
 // a beside it, of one slot.
 func localNode(t *testing.T, a string) *node {
@@ -163,12 +179,7 @@
 
 // TestWaitingRequestIsAnsweredBeforeDrainEnds guards against requests that have not run and that a stopping daemon cuts off, and against an answer of its own in place of that of a worker at work.
 func TestWaitingRequestIsAnsweredBeforeDrainEnds(t *testing.T) {
-	began, release := make(chan struct{}, 2), make(chan struct{})
-	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		began <- struct{}{}
-		<-release
-		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
-	}))
+	w, began, release := startHolding(t)
 	n := localNode(t, address(w))
 	running, waiting := make(chan received, 1), make(chan received, 1)
 	go func() { running <- send(t, request(t, n, "POST", "/once", nil)) }()
@@ -235,12 +246,7 @@
 
 // TestRequestWaitsElsewhereOnlyUntilDrainEnds guards against requests that a stopping daemon offers to another one and that wait there until it cuts them off.
 func TestRequestWaitsElsewhereOnlyUntilDrainEnds(t *testing.T) {
-	began, release := make(chan struct{}, 4), make(chan struct{})
-	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		began <- struct{}{}
-		<-release
-		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
-	}))
+	w, began, release := startHolding(t)
 	n, o := mesh(t, address(w))
 	s := patientSnapshot(t)
 	n.view.Store(caller.NewView(s, n.View().Candidates))
@@ -275,12 +281,7 @@
 
 // TestRequestSentBeforeDrainLeavesOtherQueueInTime guards against requests that wait at another daemon when this one begins to stop, and that are cut off without an answer although they have not run.
 func TestRequestSentBeforeDrainLeavesOtherQueueInTime(t *testing.T) {
-	began, release := make(chan struct{}, 4), make(chan struct{})
-	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		began <- struct{}{}
-		<-release
-		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
-	}))
+	w, began, release := startHolding(t)
 	n, o := mesh(t, address(w))
 	n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
 	running := make(chan received, 2)
@@ -319,12 +320,7 @@
 
 // TestUploadThatArrivedWaitsNoLongerThanItsSenderLets guards against an upload that was sent to a daemon with a free slot, finds none when its body has arrived, and waits beyond the end of a drain of its sender.
 func TestUploadThatArrivedWaitsNoLongerThanItsSenderLets(t *testing.T) {
-	began, release := make(chan struct{}, 4), make(chan struct{})
-	w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		began <- struct{}{}
-		<-release
-		w.Header().Set(contract.ExchangeHeader, r.Header.Get(contract.ExchangeHeader))
-	}))
+	w, began, release := startHolding(t)
 	n, o := mesh(t, address(w))
 	n.view.Store(caller.NewView(patientSnapshot(t), n.View().Candidates))
 	running := make(chan received, 2)
