daemon: tell requests at a worker from those that wait in a drain test

Cause: the set-up sends requests until the worker beside the daemon that stops runs one. If the other workers are filled first, one of the requests waits there, for 3.7 s since: the drain limit of 4 s less 0.3 s. It was sent some 10 ms before the drain began, so that its wait ends 0.31 s before the limit. It has not run, and the answer says so. The check took it for one at a worker.

The check is now by number: as many connections are closed as requests are at a worker, and each other request is answered as not run.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -541,6 +541,7 @@
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	d, h := newHold(t, c)
 	defer close(h.release)
+	before := d.runs()
 	results := make(chan string, 64)
 	n := d.occupy(c, results)
 	began := time.Now()
@@ -548,11 +549,24 @@
 	if took := time.Since(began); took < time.Duration(d.daemons[2].Settings().DrainLimit) {
 		t.Errorf("the daemon ended after %s, before its limit", took)
 	}
+	closed, run := 0, d.runs()-before
 	for range n {
-		if s := <-results; !strings.HasSuffix(s, "EOF") && !strings.Contains(s, "reset") {
+		s := <-results
+		switch {
+		case strings.HasSuffix(s, "EOF"), strings.Contains(s, "reset"):
+			closed++
+		case !isNotRun(s): // one that waits elsewhere, while the workers there are full
 			t.Errorf("got the answer %q, want a closed connection", s)
 		}
 	}
+	if closed != run {
+		t.Errorf("%d of %d connections were closed, and %d requests were at a worker", closed, n, run)
+	}
+}
+
+// isNotRun reports whether the result s of postTo is an answer that the request was not run.
+func isNotRun(s string) bool {
+	return strings.HasPrefix(s, "503 ") && strings.Contains(s, contract.NotRun.String())
 }
 
 // TestDrainAnnouncesItsEndAtItsLimit guards against a daemon that drains until its limit and then ends without a word, so that the others find out by probes.
@@ -636,7 +650,7 @@
 	<-d.stopAnnounced()
 	answered, run := 0, d.runs()-before
 	for range n {
-		if s := <-results; strings.HasPrefix(s, "503 ") && strings.Contains(s, "not-run") {
+		if isNotRun(<-results) {
 			answered++
 		}
 	}
