--- a/hop/hop.go
+++ b/hop/hop.go
@@ -168,7 +168,7 @@
 			v.Notice = h.Headers.Notice(p.Header)
 		}
 		if v.Outcome == contract.NotRun {
-			drain(p)
+			discardBody(p)
 		}
 		if !v.OK() {
 			return v
--- a/hop/refusal.go
+++ b/hop/refusal.go
@@ -20,11 +20,11 @@
 	// would otherwise have them all closed.
 	refusedConnsMax = 4
 
-	// drainBytesMax bounds the body of a refusal that is read so that the connection
+	// discardBytesMax bounds the body of a refusal that is read so that the connection
 	// can be used again, in bytes.
-	drainBytesMax = 4 << 10
-	// drainTimeout is how long the answer to a refused request waits for that body.
-	drainTimeout = 20 * time.Millisecond
+	discardBytesMax = 4 << 10
+	// discardTimeout is how long the answer to a refused request waits for that body.
+	discardTimeout = 20 * time.Millisecond
 )
 
 // refusals holds hashes of the ids of the requests that were refused on a
@@ -109,12 +109,12 @@
 	}
 }
 
-// drain reads the body of the refusal p if it is short: otherwise each refusal would
+// discardBody reads the body of the refusal p if it is short: otherwise each refusal would
 // cost a connection.
-func drain(p *http.Response) {
-	if p.Close || p.ContentLength > drainBytesMax {
+func discardBody(p *http.Response) {
+	if p.Close || p.ContentLength > discardBytesMax {
 		return
 	}
-	defer time.AfterFunc(drainTimeout, func() { _ = p.Body.Close() }).Stop()
-	_, _ = io.Copy(io.Discard, io.LimitReader(p.Body, drainBytesMax+1))
+	defer time.AfterFunc(discardTimeout, func() { _ = p.Body.Close() }).Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(p.Body, discardBytesMax+1))
 }
