--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -39,7 +40,10 @@
 	machines []*machine
 	runs     *runs
 	base     int
-	workers  []*worker
+
+	mu      sync.Mutex
+	workers []*worker
+	stopped bool
 }
 
 // runPattern finds the command of the daemon in the deploy file.
@@ -202,10 +206,30 @@
 // addWorker starts a worker on the machine.
 func (d *deployment) addWorker(m *machine, id, service string) (*worker, error) {
 	k := newWorker(id, service, m.zone, m.workerAddress(), m.controlAddress(), d.rec, d.runs)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.workers = append(d.workers, k)
 	return k, k.start()
 }
 
+// startAgain starts the i-th worker again, as another boot with another id, some
+// seconds after each of its crashes.
+func (d *deployment) startAgain(m *machine, k *worker, i int) {
+	for n := 2; ; n++ {
+		<-k.end.Done()
+		time.Sleep(workerDownTime)
+		d.mu.Lock()
+		if d.stopped {
+			d.mu.Unlock()
+			return
+		}
+		k = newWorker(fmt.Sprintf("i-%d-%d", i, n), k.service, m.zone, m.workerAddress(), m.controlAddress(), d.rec, d.runs)
+		d.workers = append(d.workers, k)
+		_ = k.start()
+		d.mu.Unlock()
+	}
+}
+
 // start starts all daemons and waits until they are ready.
 func (d *deployment) start() error {
 	for _, m := range d.machines {
@@ -223,6 +247,9 @@
 
 // stop ends all that was started.
 func (d *deployment) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
 	for _, k := range d.workers {
 		k.stopFn()
 		if k.server != nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// crashPrefix begins the paths of requests that crash each worker that runs them.
+const crashPrefix = "/crash/"
+
 // beat is beat_s of the users' pages.
 const beat = 870 * time.Millisecond
 
@@ -233,6 +236,11 @@
 	}
 	k.runs.add(run{id: id, path: r.RequestURI, caller: r.Header.Get("Figwheel-Caller-Service"), at: time.Now(), worker: k.id})
 	k.rec.line("worker %s of %s runs %s %s %s for caller service %q", k.id, k.service, id, r.Method, r.RequestURI, r.Header.Get("Figwheel-Caller-Service"))
+	if strings.HasPrefix(r.URL.Path, crashPrefix) {
+		go k.stop()
+		<-k.end.Done()
+		return
+	}
 	select {
 	case <-time.After(workTime(r.URL.Path)):
 	case <-x.Done():
