review: claims of one site, doses quoted, TROUBLE in each script; the crash of a stand-in mended

A worker of the stand-ins that crashes breaks its connections and can't answer. Delayed check-ins take the place of regular ones.

--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -12,7 +12,7 @@
 	// workerDownTime is how long a worker that crashed is gone.
 	workerDownTime = 4 * time.Second
 	// crashInterval is the time between two sends of the request.
-	crashInterval = 6 * time.Second
+	crashInterval = 7 * time.Second
 	// crashRetries is how many retries of a request that crashes workers may reach them.
 	crashRetries = 3
 )
@@ -20,18 +20,18 @@
 // crashingRequest: a request that crashes workers comes again and again.
 func crashingRequest(s setup) (bool, error) {
 	d := s.d
-	for i, z := range []string{"nottingham", "loughborough", "newark", "nottingham", "loughborough", "newark"} {
-		m, err := d.addMachine(z, "riverdesk")
+	for i, z := range []string{"sam-son", "ba-dinh", "tho-xuan", "sam-son", "ba-dinh", "tho-xuan"} {
+		m, err := d.addMachine(z, "lot-ledger")
 		if err != nil {
 			return false, err
 		}
-		k, err := d.addWorker(m, fmt.Sprintf("i-%d-1", i+1), "riverdesk")
+		k, err := d.addWorker(m, fmt.Sprintf("i-%d-1", i+1), "lot-ledger")
 		if err != nil {
 			return false, err
 		}
 		go d.startAgain(m, k, i+1)
 	}
-	if err := d.store.writeConfig(config(1, []string{"riverdesk"}, route{"/r/", "riverdesk", "idempotent", 2}, route{crashPrefix, "riverdesk", "non_idempotent", 2})); err != nil {
+	if err := d.store.writeConfig(config(1, []string{"lot-ledger"}, route{"/r/", "lot-ledger", "idempotent", 2}, route{crashPrefix, "lot-ledger", "non_idempotent", 2})); err != nil {
 		return false, err
 	}
 	if err := d.start(); err != nil {
@@ -51,7 +51,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	if s.trouble {
-		for n := range 9 {
+		for n := range 8 {
 			cs[n%len(cs)].do("POST", crashPrefix+"7", "the same body", 2*time.Second)
 			time.Sleep(crashInterval)
 		}
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -12,18 +12,18 @@
 func lateCheckIns(s setup) (bool, error) {
 	d := s.d
 	var ks []*worker
-	for _, z := range []string{"nottingham", "loughborough"} {
-		m, err := d.addMachine(z, "riverdesk")
+	for _, id := range []string{"i-1", "i-2"} {
+		m, err := d.addMachine("sam-son", "lot-ledger")
 		if err != nil {
 			return false, err
 		}
-		k, err := d.addWorker(m, "i-"+z, "riverdesk")
+		k, err := d.addWorker(m, id, "lot-ledger")
 		if err != nil {
 			return false, err
 		}
 		ks = append(ks, k)
 	}
-	if err := d.store.writeConfig(config(1, []string{"riverdesk"}, route{"/r/", "riverdesk", "idempotent", 2.5})); err != nil {
+	if err := d.store.writeConfig(config(1, []string{"lot-ledger"}, route{"/r/", "lot-ledger", "idempotent", 2.5})); err != nil {
 		return false, err
 	}
 	if err := d.start(); err != nil {
@@ -35,15 +35,13 @@
 	}
 	x, stop := context.WithCancel(context.Background())
 	defer stop()
-	b.load(x, 10*time.Millisecond, "GET", 2*time.Second, func(int) string { return "/r/100" })
+	b.load(x, 25*time.Millisecond, "GET", 2*time.Second, func(int) string { return "/r/100" })
 	time.Sleep(5 * time.Second)
 
 	// The last two check-ins before the worker leaves are delayed.
 	k, m := ks[0], d.machines[0]
-	first := k.checkIn()
-	time.Sleep(beat)
-	second := k.checkIn()
-	s.rec.line("worker %s has sent two check-ins that are still on their way: %s %s", k.id, first, second)
+	late := k.delay(2)
+	s.rec.line("worker %s has sent two check-ins that are still on their way: %s", k.id, late)
 	if !k.leave() {
 		return false, errors.New("the leaving of the worker was not acknowledged")
 	}
@@ -60,9 +58,9 @@
 	}
 	back := time.Now()
 	time.Sleep(time.Until(left.Add(1800 * time.Millisecond)))
-	k.send(first, true)
+	k.send(late[0], true)
 	time.Sleep(300 * time.Millisecond)
-	k.send(second, true)
+	k.send(late[1], true)
 	time.Sleep(time.Until(left.Add(9 * time.Second)))
 	stop()
 	k.stop()
@@ -72,12 +70,12 @@
 	if t := back.Add(stableTime + 500*time.Millisecond); s.trouble && t.After(bound) {
 		bound = t // the machine beside the worker is in touch again
 	}
-	late := 0
+	n := 0
 	for _, r := range d.runs.list() {
 		if r.worker == k.id && r.at.After(bound) {
-			late++
+			n++
 		}
 	}
-	s.rec.result("worker %s ran %d requests later than %.1f s after its leaving was acknowledged, with all machines in touch", k.id, late, bound.Sub(left).Seconds())
-	return late > 0, nil
+	s.rec.result("worker %s ran %d requests later than %.1f s after its leaving was acknowledged, with all machines in touch", k.id, n, bound.Sub(left).Seconds())
+	return n > 0, nil
 }
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -14,7 +14,7 @@
 	services := []string{"s1", "s2", "s3", "s4", "s5", "s6"}
 	var routes []route
 	for i, v := range services {
-		m, err := d.addMachine("nottingham", v)
+		m, err := d.addMachine("sam-son", v)
 		if err != nil {
 			return false, err
 		}
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -107,7 +107,7 @@
 		name: fmt.Sprintf("sidecar-%s-%d", zone, n), ip: ip, zone: zone, service: service, root: d.root, dir: d.dir, rec: d.rec,
 		run: strings.Fields(string(c[1])),
 		values: map[string]string{
-			"node": fmt.Sprintf("sidecar-%s-%d", zone, n), "zone": zone, "region": "midlands", "service": service, "ip": ip,
+			"node": fmt.Sprintf("sidecar-%s-%d", zone, n), "zone": zone, "region": "bac-trung-bo", "service": service, "ip": ip,
 			"app_addr": at(6), "platform.address": d.store.address,
 			"listen_addrs.outbound_addr": at(0), "listen_addrs.inbound_addr": at(1), "listen_addrs.ready_addr": at(2), "listen_addrs.control_addr": at(3),
 			"port_range.0": fmt.Sprint(d.base + 4), "port_range.1": fmt.Sprint(d.base + 5),
@@ -146,6 +146,7 @@
 	c.Dir = m.root
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FIGWHEEL_CONFIG=" + m.settings}
 	c.Stdout, c.Stderr = f, f
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the script is killed
 	if err := c.Start(); err != nil {
 		return err
 	}
--- a/review/standin/origin.go
+++ b/review/standin/origin.go
@@ -10,8 +10,8 @@
 // otherService: the settings of a machine name another service.
 func otherService(s setup) (bool, error) {
 	d := s.d
-	for i, z := range []string{"nottingham", "loughborough", "newark"} {
-		v := []string{"riverdesk", "bookings", "riverdesk"}[i]
+	for i, z := range []string{"sam-son", "ba-dinh", "tho-xuan"} {
+		v := []string{"lot-ledger", "cert-office", "lot-ledger"}[i]
 		m, err := d.addMachine(z, v)
 		if err != nil {
 			return false, err
@@ -20,7 +20,7 @@
 			return false, err
 		}
 	}
-	if err := d.store.writeConfig(config(1, []string{"riverdesk", "bookings"}, route{"/r/", "riverdesk", "idempotent", 2}, route{"/b/", "bookings", "idempotent", 2})); err != nil {
+	if err := d.store.writeConfig(config(1, []string{"lot-ledger", "cert-office"}, route{"/r/", "lot-ledger", "idempotent", 2}, route{"/b/", "cert-office", "idempotent", 2})); err != nil {
 		return false, err
 	}
 	if err := d.start(); err != nil {
@@ -34,11 +34,11 @@
 	if err := awaitServed("/r/20", a); err != nil {
 		return false, err
 	}
-	service := "riverdesk"
+	service := "lot-ledger"
 	if s.trouble {
 		d.workers[0].stop()
 		time.Sleep(2500 * time.Millisecond) // longer than reuse_after_s
-		service = "bookings"
+		service = "cert-office"
 		m.values["service"] = service
 		if err := m.render(); err != nil {
 			return false, err
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -18,7 +18,7 @@
 const crashPrefix = "/crash/"
 
 // beat is beat_s of the users' pages.
-const beat = 870 * time.Millisecond
+const beat = 1500 * time.Millisecond
 
 // run is one request that a worker began to work on.
 type run struct {
@@ -82,10 +82,12 @@
 	mu       sync.Mutex
 	sequence uint64
 	state    string // ready, draining or gone
+	delayed  bool   // whether check-ins are held back on their way
+	onTheWay [][]byte
 }
 
 func newWorker(id, service, zone, address, control string, rec *record, all *runs) *worker {
-	k := &worker{id: id, service: service, zone: zone, address: address, control: control, slots: 9, born: time.Now().UnixMilli(), rec: rec, runs: all, state: "ready"}
+	k := &worker{id: id, service: service, zone: zone, address: address, control: control, slots: 6, born: time.Now().UnixMilli(), rec: rec, runs: all, state: "ready"}
 	k.free = make(chan struct{}, k.slots)
 	for range k.slots {
 		k.free <- struct{}{}
@@ -122,9 +124,16 @@
 	defer t.Stop()
 	for {
 		k.mu.Lock()
-		gone := k.state == "gone"
+		gone, delayed := k.state == "gone", k.delayed
 		k.mu.Unlock()
-		if !gone {
+		switch {
+		case gone:
+		case delayed:
+			b := k.checkIn()
+			k.mu.Lock()
+			k.onTheWay = append(k.onTheWay, b)
+			k.mu.Unlock()
+		default:
 			k.send(k.checkIn(), false)
 		}
 		select {
@@ -135,6 +144,22 @@
 	}
 }
 
+// delay holds back the next n check-ins and returns their bodies once they were sent.
+func (k *worker) delay(n int) [][]byte {
+	k.mu.Lock()
+	k.delayed = true
+	k.mu.Unlock()
+	for {
+		k.mu.Lock()
+		l := k.onTheWay
+		k.mu.Unlock()
+		if len(l) >= n {
+			return l[:n]
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // checkIn returns the body of the next check-in.
 func (k *worker) checkIn() []byte {
 	k.mu.Lock()
@@ -218,7 +243,7 @@
 	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	limit := time.Hour
 	if ms, err := strconv.Atoi(r.Header.Get("Figwheel-Request-Deadline")); err == nil {
@@ -237,9 +262,8 @@
 	k.runs.add(run{id: id, path: r.RequestURI, caller: r.Header.Get("Figwheel-Caller-Service"), at: time.Now(), worker: k.id})
 	k.rec.line("worker %s of %s runs %s %s %s for caller service %q", k.id, k.service, id, r.Method, r.RequestURI, r.Header.Get("Figwheel-Caller-Service"))
 	if strings.HasPrefix(r.URL.Path, crashPrefix) {
-		go k.stop()
-		<-k.end.Done()
-		return
+		k.stop() // closes all connections
+		panic(http.ErrAbortHandler)
 	}
 	select {
 	case <-time.After(workTime(r.URL.Path)):
