daemon: apply a worker's first announcement only once the worker confirms it

Cause: a process that has just started knows nothing of what the one before acknowledged. If the worker answered the health check with 503, one announcement was ignored and the next one believed, however late; if an announcement came before the answer, the 503 was dropped.

Ruled out by the log of the daemon (FE313, then FE304 at the second late check-in): the order of sequences, which would have let the first one pass, and records of the former process at other daemons, which would have shown before the second check-in.

Now the announcement is held until the worker answers a health check with the same id, each further one asks again, and a check without an answer is repeated. A worker cannot answer 200 while it leaves, so that no number or order of late announcements matters. FE316 logs what was dropped. A request that comes before the worker is known is answered FW3008, not "belongs to another service".

Tests: TestWorkerFound and TestAnnouncementBeforeHealthAnswer. On two late announcements (trial: state Ready, want Starting) and the announcement before the answer (the same) fail. Two cases of TestWorkerFound and the set-up of TestNoRequestsBeforeWorkerIsAsked asserted the fault: that the second announcement is believed while the worker goes on answering 503, and that a worker which answers no check is ready. They now have the worker answer as it would, and the same end state; the cases without such an answer want Starting.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -68,7 +68,9 @@
 	noticedSent       int64                   // requests sent to the worker by then
 	leavingWorker     *upstream.Announcement  // last one of a worker that has stated in an answer that it is leaving; nil if none has
 	workerAsked       bool                    // whether askWorker has ended or is not possible
-	workerUnready     bool                    // the worker answered askWorker that it is not ready, and has not announced itself since
+	workerBeingAsked  bool                    // whether a health check of the worker runs
+	nextAsk           time.Time               // earliest time of the next health check after one without an answer
+	confirmation      upstream.Confirmation   // of the worker's announcements since the start
 	loggedFaults      map[string]bool         // texts of the configuration faults that were logged
 	platformReachable bool                    // whether the last call of the platform was answered
 	answeredPeers     map[string]bool         // names of the peers that answered an exchange since the start
@@ -124,7 +126,7 @@
 
 		suspectSendsLeft: make(map[poison.Fingerprint]int),
 		noticedAt:        n,
-		workerAsked:      d.edge.AskWorker == nil || s.WorkerAddress == "",
+		workerAsked:      !d.canAskWorker(),
 	}
 }
 
@@ -188,6 +190,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.expireWorker(now)
+	c.askWorkerAgain(now)
 	c.suspects = c.suspects.Unexpired(now)
 	for _, r := range c.table.Expire(now) {
 		c.d.event(c.x, event.InstanceDead, slog.String("Name", r.Name), slog.String("Site", r.Site))
@@ -226,13 +229,19 @@
 // expireWorker marks the worker as lost when its last announcement and its last
 // answer are both older than the worker lapse of the settings.
 func (c *control) expireWorker(now time.Time) {
-	t := cmp.Or(time.Duration(c.settings.WorkerLapse), upstream.LapseTimeDefault)
+	t := c.workerLapse()
 	if c.announcement.Service == "" || now.Sub(c.announcedAt) < t || c.d.worker.SilentFor(now) < t {
 		return
 	}
 	c.workerLost(now, "silent")
 }
 
+// workerLapse returns the time without an announcement or an answer after which the
+// worker is considered lost.
+func (c *control) workerLapse() time.Duration {
+	return cmp.Or(time.Duration(c.settings.WorkerLapse), upstream.LapseTimeDefault)
+}
+
 // workerLost marks the worker as left, so that it gets no calls until its next
 // announcement. The cause goes into the log.
 func (c *control) workerLost(now time.Time, cause string) {
@@ -247,23 +256,24 @@
 
 // applyAnnouncement applies the worker's announcement a. It returns an error if
 // a is older than what is known. After a start this daemon does not know which
-// announcements its earlier process acknowledged: if the worker has answered
-// since the start that it is not ready, the first announcement that it is ready
-// may be a late one of a worker that is leaving. It is ignored, and the next
-// announcement is applied.
+// announcements its earlier process acknowledged: the first one that the worker is
+// ready is applied once the worker confirms it.
 func (c *control) applyAnnouncement(a upstream.Announcement, now time.Time) error {
+	if c.d.canAskWorker() && c.confirmation.Hold(a, now) {
+		c.d.event(c.x, event.AnnouncementDoubted, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence))
+		c.askWorker()
+		return nil
+	}
+	return c.applyConfirmed(a, now)
+}
+
+// applyConfirmed applies the announcement a, which needs no confirmation by the worker.
+func (c *control) applyConfirmed(a upstream.Announcement, now time.Time) error {
 	a, err := c.history.Apply(a)
 	if err != nil {
 		c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
 		return err
 	}
-	if c.workerUnready {
-		c.workerUnready = false
-		if a.State == instance.Ready.String() {
-			c.d.event(c.x, event.AnnouncementDoubted, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence))
-			return nil
-		}
-	}
 	o := c.announcement
 	if o.State == instance.Ready.String() && a.IsOtherStart(o) {
 		c.workerCrashed(now, "started again") // the earlier start did not announce that it leaves
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -123,7 +123,7 @@
 	o := c.announcement
 	switch {
 	case o.Service == "":
-		c.workerUnready = true // its next announcement may be from before it was leaving
+		c.dropHeld() // it may be from before the worker was leaving
 	case o.State == instance.Ready.String() && !a.IsOtherStart(o) && !o.IsOtherStart(a):
 		c.leavingWorker = &o
 		c.announcement.State = instance.Draining.String()
@@ -151,53 +151,125 @@
 }
 
 const (
-	// askWorkerTimeout bounds the health request to the worker after a start.
+	// askWorkerTimeout bounds one health check of the worker.
 	askWorkerTimeout = time.Second
-	// provisionalSlots is assumed for a worker that answers a health request, as
+	// askWorkerInterval is the time between two health checks of a worker that does not
+	// answer them, while an announcement waits for the answer.
+	askWorkerInterval = 500 * time.Millisecond
+	// provisionalSlots is assumed for a worker that answers a health check, as
 	// long as neither it nor another instance of its service has announced its
 	// slots. Few workers have fewer.
 	provisionalSlots = 4
 )
 
-// askWorker asks the worker beside this daemon whether it is ready, once after a
-// start of the daemon. A worker that was running before repeats its announcement
-// only periodically and would get no calls until then. A worker that has announced
-// itself already is asked too: announcements do not have its rate limit.
+// canAskWorker reports whether the daemon can send health checks to the worker.
+func (d *Daemon) canAskWorker() bool {
+	return d.edge.AskWorker != nil && d.settings.WorkerAddress != ""
+}
+
+// heldAnnouncement returns the announcement that waits for the worker's confirmation.
+// Its ID is empty if there is none.
+func (c *control) heldAnnouncement(now time.Time) upstream.Announcement {
+	return c.confirmation.Held(now, c.workerLapse())
+}
+
+// askWorker asks the worker beside this daemon whether it is ready: after a start of
+// the daemon, and when an announcement needs confirmation. A worker that was running
+// before repeats its announcement only periodically and would get no calls until then.
+// A worker that has announced itself already is asked too: announcements do not have
+// its rate limit.
 func (c *control) askWorker() {
-	f, a := c.d.edge.AskWorker, c.settings.WorkerAddress
-	s, ok := c.serving.Service(c.settings.Service)
-	if c.workerAsked || !ok || s.HealthPath == "" {
+	if c.workerBeingAsked || c.serving == nil || !c.d.canAskWorker() {
+		return
+	}
+	a := c.heldAnnouncement(c.d.now())
+	s, ok := c.serving.Service(a.Service)
+	if !ok {
+		s, ok = c.serving.Service(c.settings.Service)
+	}
+	if !ok || s.HealthPath == "" {
 		c.workerAsked = true
+		if ok {
+			c.applyHeld(c.confirmation.Waive())
+		}
 		c.updateSelf(c.d.now())
 		return
 	}
+	c.workerBeingAsked = true
+	address := c.settings.WorkerAddress
 	c.start(func(x context.Context) {
 		y, stop := context.WithTimeout(x, askWorkerTimeout)
 		defer stop()
-		h, err := f(y, a, s.HealthPath)
+		h, err := c.d.edge.AskWorker(y, address, s.HealthPath)
 		if err != nil {
-			c.d.event(x, event.WorkerSilent, slog.String("Address", a), slog.String("Cause", err.Error()))
+			c.d.event(x, event.WorkerSilent, slog.String("Address", address), slog.String("Cause", err.Error()))
 		}
 		_ = c.d.do(x, func(c *control) { c.applyHealth(h, err == nil, c.d.now()) })
 	})
 }
 
+// askWorkerAgain repeats a health check that was not answered while an announcement
+// waits for it.
+func (c *control) askWorkerAgain(now time.Time) {
+	if c.heldAnnouncement(now).ID != "" && !now.Before(c.nextAsk) {
+		c.askWorker()
+	}
+}
+
 // applyHealth applies the response h of the worker to a health check. If ran is
 // false, only its notice counts.
 func (c *control) applyHealth(h upstream.Health, ran bool, now time.Time) {
 	if h.Notice != (contract.Notice{}) {
 		c.d.worker.RecordHealth(h, now) // before the worker gets its first request
 	}
-	c.workerAsked = true
+	c.workerAsked, c.workerBeingAsked = true, false
 	switch {
-	case ran && h.ID == "":
-		c.workerUnready = c.announcement.Service == ""
-	case ran && !h.Notice.IsLeaving():
-		c.foundWorker(h.ID, now)
+	case ran && h.ID != "" && !h.Notice.IsLeaving():
+		c.confirmWorker(h.ID, now)
+	case ran || h.Notice.IsLeaving():
+		c.dropHeld()
+	default:
+		c.nextAsk = now.Add(askWorkerInterval)
 	}
 	c.updateSelf(now)
 }
 
+// confirmWorker applies the answer of the worker whose start has the ID that it is
+// ready.
+func (c *control) confirmWorker(id string, now time.Time) {
+	if c.history.IsLeaving(id) {
+		return // it has announced so since it answered
+	}
+	a, t, confirmed := c.confirmation.Answer(id)
+	if confirmed {
+		c.applyHeld(a, t)
+		return
+	}
+	if a.ID != "" {
+		c.logUnready(a, id)
+	}
+	c.foundWorker(id, now)
+}
+
+// applyHeld applies the announcement a that was held since it arrived at t.
+func (c *control) applyHeld(a upstream.Announcement, t time.Time) {
+	if a.ID != "" {
+		_ = c.applyConfirmed(a, t) // logged; its sender has got an acknowledgement
+	}
+}
+
+// dropHeld drops the announcement that is held: the worker is not ready.
+func (c *control) dropHeld() {
+	a, _, _ := c.confirmation.Answer("")
+	c.logUnready(a, "")
+}
+
+// logUnready logs that the announcement a, whose ID is empty if there is none, is dropped
+// because the worker is not ready or the start with the id answered.
+func (c *control) logUnready(a upstream.Announcement, id string) {
+	c.d.event(c.x, event.WorkerUnready, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence), slog.String("Answered", id))
+}
+
 // foundWorker treats the worker whose start has the ID as ready until it
 // announces itself. It does not add an entry to the history of announcements:
 // that is ordered by the time of the start and the sequence, which are not known.
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -126,7 +126,9 @@
 	c.d.event(c.x, event.Activated, slog.Uint64("Number", s.Number()), slog.String("ChangeID", r.ChangeID), slog.Uint64("Newest", c.known.Target.Number), slog.Duration("Missing", missing))
 	if first {
 		c.d.event(c.x, event.Ready, slog.Uint64("Number", s.Number()))
-		c.askWorker()
+	}
+	if !c.workerAsked || c.heldAnnouncement(now).ID != "" {
+		c.askWorker() // the configuration may bring the worker's service
 	}
 }
 
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,63 +54,100 @@
 	f.add(settings.Settings{Instance: "i-0", Site: "site-0", Service: "s", WorkerAddress: "127.0.0.1:1"})
 }
 
+// answer is a worker's answer to one health check.
+type answer struct {
+	id     string // empty if the worker is not ready
+	notice contract.Notice
+	err    error
+}
+
+// answers returns a function that a daemon asks its worker by: it gives the answers in
+// turn, and the last one again after that. It counts the questions.
+func answers(t *testing.T, l ...answer) (ask func(x context.Context, address, path string) (upstream.Health, error), asked *atomic.Int32) {
+	asked = new(atomic.Int32)
+	return func(_ context.Context, address, path string) (upstream.Health, error) {
+		if a := address + path; a != "127.0.0.1:1/health" {
+			t.Errorf("asked %s", a)
+		}
+		a := l[min(int(asked.Add(1)), len(l))-1]
+		return upstream.Health{ID: a.id, Notice: a.notice}, a.err
+	}, asked
+}
+
+// waitAnswered waits until the daemon has applied n answers of its worker and awaits no
+// other one.
+func (f workerFleet) waitAnswered(asked *atomic.Int32, n int32) {
+	f.t.Helper()
+	f.wait("the worker's answer is applied", func() bool {
+		return asked.Load() >= n && f.ask(0, func(c *control) bool { return !c.workerBeingAsked })
+	})
+}
+
 // TestWorkerFound guards against a worker that gets no calls, or gets calls while
 // it is leaving, after a restart of its daemon. The worker was running before and
 // has not announced itself to the new process yet; the daemon requests its health
-// and then gets the announcements of the case.
+// and then gets the announcements of the case. An earlier process may have acknowledged
+// that the worker leaves, and any number of announcements from before that may be late.
 func TestWorkerFound(t *testing.T) {
 	ready := upstream.Announcement{ID: "w-2", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
-	next := ready
-	next.Sequence++
-	draining := next
-	draining.State = instance.Draining.String()
+	with := func(f func(a *upstream.Announcement)) upstream.Announcement {
+		a := ready
+		a.Sequence++
+		f(&a)
+		return a
+	}
+	next := with(func(*upstream.Announcement) {})
+	third := with(func(a *upstream.Announcement) { a.Sequence++ })
+	draining := with(func(a *upstream.Announcement) { a.State = instance.Draining.String() })
+	left := upstream.Announcement{ID: "w-2", State: instance.Left.String()}
+	older := with(func(a *upstream.Announcement) { a.ID, a.Born = "w-1", 100 })
+	olderLeft := upstream.Announcement{ID: "w-1", State: instance.Left.String()}
+	newer := with(func(a *upstream.Announcement) { a.ID, a.Born, a.Sequence = "w-3", 300, 1 })
+	is, notReady, refused := answer{id: "w-2"}, answer{}, answer{err: errors.New("refused")}
 	leaving := contract.Notice{Leaving: "1"}
-	older := ready
-	older.ID, older.Born = "w-1", 100
 	cases := []struct {
 		name    string
-		id      string // in the worker's answer
-		err     error
-		notice  contract.Notice // in the worker's answer
+		answers []answer // to the first question, and to those after the announcements
 		then    []upstream.Announcement
 		want    instance.State
 		slots   uint32
 		finalID string // of the worker at the daemon, after the announcements
 	}{
-		{"it is ready", "w-2", nil, contract.Notice{}, nil, instance.Ready, provisionalSlots, "w-2"},
-		{"it is not ready", "", nil, contract.Notice{}, nil, instance.Starting, 0, ""},
-		{"a late announcement from before it was leaving", "", nil, contract.Notice{}, []upstream.Announcement{ready}, instance.Starting, 0, ""},
-		{"it was leaving and announces that", "", nil, contract.Notice{}, []upstream.Announcement{ready, draining}, instance.Draining, 7, "w-2"},
-		{"it was not ready for a short time", "", nil, contract.Notice{}, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
-		{"it takes no connection and announces itself", "", errors.New("refused"), contract.Notice{}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
-		{"it takes no connection", "", errors.New("refused"), contract.Notice{}, nil, instance.Starting, 0, ""},
-		{"it announces itself later", "w-2", nil, contract.Notice{}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
-		{"a late announcement of an earlier start comes first", "w-2", nil, contract.Notice{}, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
-		{"it states that it is leaving", "w-2", nil, leaving, nil, instance.Starting, 0, ""},
-		{"it states that it is leaving, and a late announcement comes", "w-2", nil, leaving, []upstream.Announcement{ready}, instance.Starting, 0, ""},
-		{"it states that it is leaving when it rejects the check", "", errors.New("refused"), leaving, []upstream.Announcement{ready}, instance.Starting, 0, ""},
+		{"it is ready", []answer{is}, nil, instance.Ready, provisionalSlots, "w-2"},
+		{"it is not ready", []answer{notReady}, nil, instance.Starting, 0, ""},
+		{"a late announcement from before it was leaving", []answer{notReady}, []upstream.Announcement{ready}, instance.Starting, 0, ""},
+		{"two late announcements from before it was leaving", []answer{notReady}, []upstream.Announcement{ready, next}, instance.Starting, 0, ""},
+		{"three late announcements, the last one first", []answer{notReady}, []upstream.Announcement{third, ready, next}, instance.Starting, 0, ""},
+		{"late announcements before and after it is leaving", []answer{notReady}, []upstream.Announcement{ready, draining, third}, instance.Draining, 7, "w-2"},
+		{"late announcements after it has left", []answer{is}, []upstream.Announcement{left, ready, next}, instance.Starting, 0, "w-2"},
+		{"it was leaving and announces that", []answer{notReady}, []upstream.Announcement{ready, draining}, instance.Draining, 7, "w-2"},
+		{"it was not ready for a short time", []answer{notReady, is}, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
+		{"another worker has followed it", []answer{notReady, {id: "w-3"}}, []upstream.Announcement{newer, ready}, instance.Ready, 7, "w-3"},
+		{"it takes no connection, announces itself and is ready", []answer{refused, is}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
+		{"it takes no connection, and announces itself twice before it answers", []answer{refused, refused, is}, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
+		{"it takes no connection, and late announcements come", []answer{refused, refused, notReady}, []upstream.Announcement{ready, next}, instance.Starting, 0, ""},
+		{"it takes no connection", []answer{refused}, nil, instance.Starting, 0, ""},
+		{"it announces itself later", []answer{is}, []upstream.Announcement{ready}, instance.Ready, 7, "w-2"},
+		{"a late announcement of an earlier start comes first", []answer{is}, []upstream.Announcement{older, ready}, instance.Ready, 7, "w-2"},
+		{"only a late announcement of an earlier start comes", []answer{is}, []upstream.Announcement{older}, instance.Ready, provisionalSlots, "w-2"},
+		{"an earlier start announces late that it has left", []answer{is}, []upstream.Announcement{olderLeft, ready}, instance.Ready, 7, "w-2"},
+		{"it states that it is leaving", []answer{{id: "w-2", notice: leaving}}, nil, instance.Starting, 0, ""},
+		{"it states that it is leaving, and late announcements come", []answer{{id: "w-2", notice: leaving}}, []upstream.Announcement{ready, next}, instance.Starting, 0, ""},
+		{"it states that it is leaving when it rejects the check", []answer{{notice: leaving, err: errors.New("refused")}}, []upstream.Announcement{ready, next}, instance.Starting, 0, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			asked := make(chan string, 1)
-			f := newWorkerFleet(t, func(_ context.Context, address, path string) (upstream.Health, error) {
-				asked <- address + path
-				return upstream.Health{ID: c.id, Notice: c.notice}, c.err
-			})
+			ask, asked := answers(t, c.answers...)
+			f := newWorkerFleet(t, ask)
 			f.putService()
 			f.addDaemon()
-			if a := <-asked; a != "127.0.0.1:1/health" {
-				t.Errorf("asked %s", a)
-			}
-			f.wait("the answer is applied", func() bool {
-				return f.ask(0, func(c2 *control) bool {
-					return c.err != nil && c.notice == (contract.Notice{}) || c2.workerUnready || c2.announcement.ID != ""
-				})
-			})
+			f.waitAnswered(asked, 1)
 			for _, a := range c.then {
 				_ = f.daemons[0].takeAnnouncement(a, time.Now())
+				f.waitAnswered(asked, 1)
 			}
+			f.waitAnswered(asked, int32(len(c.answers)))
 			type state struct {
 				State instance.State
 				Slots uint32
@@ -128,6 +166,55 @@
 	}
 }
 
+// TestAnnouncementBeforeHealthAnswer guards against a worker that is leaving and gets
+// calls because a late announcement reaches a daemon that has just started before the
+// worker's answer that it is not ready.
+func TestAnnouncementBeforeHealthAnswer(t *testing.T) {
+	ready := upstream.Announcement{ID: "w-1", Service: "s", Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 9, Born: 200}
+	left := upstream.Announcement{ID: "w-1", State: instance.Left.String()}
+	for _, c := range []struct {
+		name string
+		then []upstream.Announcement // before the answer
+		id   string                  // in the answer
+		want instance.State
+	}{
+		{"it is ready", []upstream.Announcement{ready}, "w-1", instance.Ready},
+		{"it is not ready", []upstream.Announcement{ready}, "", instance.Starting},
+		{"another start is ready", []upstream.Announcement{ready}, "w-2", instance.Ready},
+		{"it has left since it answered", []upstream.Announcement{left}, "w-1", instance.Starting},
+		{"it has left since it announced itself and answered", []upstream.Announcement{ready, left}, "w-1", instance.Starting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			proceed := make(chan struct{})
+			ask, asked := answers(t, answer{id: c.id})
+			f := newWorkerFleet(t, func(x context.Context, a, p string) (upstream.Health, error) {
+				<-proceed
+				return ask(x, a, p)
+			})
+			f.putService()
+			f.addDaemon()
+			f.wait("the configuration is in force", func() bool {
+				return f.ask(0, func(c *control) bool { return c.workerBeingAsked })
+			})
+			for _, a := range c.then {
+				_ = f.daemons[0].takeAnnouncement(a, time.Now())
+			}
+			close(proceed)
+			f.waitAnswered(asked, 1)
+			f.ask(0, func(k *control) bool {
+				if s := k.table.Self().State; s != c.want {
+					t.Errorf("state %s, want %s", s, c.want)
+				}
+				if c.want == instance.Ready && k.announcement.ID != c.id {
+					t.Errorf("worker %s, want %s", k.announcement.ID, c.id)
+				}
+				return true
+			})
+		})
+	}
+}
+
 // TestWorkerThatStatesThatItIsLeaving guards against requests to a worker that says
 // in its answers that it is leaving, whatever its announcements say, and against
 // one that gets none after it has started again.
@@ -206,7 +293,7 @@
 	answer := make(chan struct{})
 	f := newWorkerFleet(t, func(context.Context, string, string) (upstream.Health, error) {
 		<-answer
-		return upstream.Health{}, errors.New("refused")
+		return upstream.Health{ID: "w-1"}, nil
 	})
 	f.putService()
 	f.addDaemon()
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -97,6 +97,12 @@
 	return a, nil
 }
 
+// IsLeaving reports whether the worker with the id has announced that it leaves or was
+// replaced.
+func (h *History) IsLeaving(id string) bool {
+	return id != "" && (h.last.ID == id && h.last.State != readyState || slices.Contains(h.formerIDs, id))
+}
+
 // recordFormer adds id to the ids of former workers and drops the oldest one if
 // there are too many.
 func (h *History) recordFormer(id string) {
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -185,7 +185,10 @@
 // deadline is that of the context x.
 func (k *Worker) Serve(x context.Context, w http.ResponseWriter, r *http.Request, now time.Time, q Request) hop.Result {
 	s := k.state.Load()
-	if s == nil || s.Service != q.Service {
+	if s == nil || s.Service == "" {
+		return hop.NotRun(result.Leaving, "no worker is ready here")
+	}
+	if s.Service != q.Service {
 		return hop.NotRun(result.WrongService, "the worker here is not of service "+q.Service)
 	}
 	if !s.acceptsRequests(now) {
