contract: let a late request begin in a drain only if its deadline bounds it

Cause: a request that came after the drain was announced began if four times the mean time of its kind was left. One in a hundred takes six times as long. A mean promises nothing; the deadline of the route or of the caller does, since it is answered by then in any case.

Evidence: on the log has FE503 for the three, 1.65 to 1.75 s after they were read, and FE501 for three requests of 0.26 to 0.34 s sent between them. Ruled out: a wait at another daemon (the workers ran them at once), and a limit that is only too early, which moves the fault.

Now a request that arrives once the drain is announced begins only if its deadline is 0.3 s before the limit. The announcement counts from 2.8 s after the SIGTERM at the latest, also if the daemon is slow to record it. What arrived before, and calls of the worker on the own interface, go by the expected time as before: they lose nothing that they or the request they serve could still save.

Two tests asserted the fault: the cases of TestLateRequestIsServedOnlyIfItEndsInTime that were served by the mean want 503 now, with cases beside them that are bounded or calls of the worker; TestDrainServesLateRequestThatEndsInTime, which speaks of calls of the worker, sends its call as a worker does, with its depth.

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -73,7 +73,7 @@
 func drain(n *node, left time.Duration) {
 	now := time.Now()
 	n.draining.Store(true)
-	n.worker.SetDrain(contract.Drain{End: now.Add(left), Announced: true}, now)
+	n.worker.SetDrain(contract.Drain{End: now.Add(left), AnnouncedAt: now}, now)
 }
 
 // leaving is the answer to a request that a stopping daemon does not serve.
@@ -89,15 +89,23 @@
 		known bool          // whether requests of the kind have been answered
 		left  time.Duration // until the end of the drain
 		limit string        // of the caller, in milliseconds
+		depth string        // of a call of the worker
 		want  bool
 	}{
-		{"it is expected to fit", true, true, drainDeadline, "", true},
-		{"it is not expected to fit", true, true, contract.AnswerTime, "", false},
-		{"it is expected to fit at another daemon", false, true, drainDeadline, "", true},
-		{"it is not expected to fit at another daemon", false, true, contract.AnswerTime, "", false},
-		{"unknown at another daemon", false, false, drainDeadline, "", false},
-		{"unknown", true, false, drainDeadline, "", false},
-		{"unknown, its deadline is before the end", true, false, drainDeadline, "20000", true},
+		{"its deadline is before the end", true, true, drainDeadline, "20000", "", true},
+		{"its deadline is before the end, at another daemon", false, true, drainDeadline, "20000", "", true},
+		{"unknown, its deadline is before the end", true, false, drainDeadline, "20000", "", true},
+		{"unknown at another daemon, its deadline is before the end", false, false, drainDeadline, "20000", "", true},
+		{"its deadline is after the end", true, true, drainDeadline, "", "", false},
+		{"its deadline is after the end, at another daemon", false, true, drainDeadline, "", "", false},
+		{"it is not expected to fit", true, true, contract.AnswerTime, "", "", false},
+		{"it is not expected to fit at another daemon", false, true, contract.AnswerTime, "", "", false},
+		{"unknown at another daemon", false, false, drainDeadline, "", "", false},
+		{"unknown", true, false, drainDeadline, "", "", false},
+		{"a call of the worker is expected to fit", true, true, drainDeadline, "", "1", true},
+		{"a call of the worker is expected to fit at another daemon", false, true, drainDeadline, "", "1", true},
+		{"a call of the worker is not expected to fit", true, true, contract.AnswerTime, "", "1", false},
+		{"a call of the worker is unknown", true, false, drainDeadline, "", "1", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -121,6 +129,9 @@
 			if c.limit != "" {
 				q.Header.Set(contract.DeadlineHeader, c.limit)
 			}
+			if c.depth != "" {
+				q.Header.Set(contract.DepthHeader, c.depth)
+			}
 			p, err := http.DefaultTransport.RoundTrip(q)
 			if err != nil {
 				t.Fatal(err)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -205,12 +205,13 @@
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	c.deadline = d
-	c.admission = upstream.AdmissionRequest{Kind: c.route.Name, Rank: c.route.Rank, Deadline: d}
+	c.admission = upstream.AdmissionRequest{Kind: c.route.Name, Rank: c.route.Rank, Deadline: d, Arrived: now}
 	if c.route.Goal > 0 {
 		c.admission.Goal = now.Add(c.route.Goal)
 	}
 	c.repeatable = c.mayRunTwice(r)
 	if h.Headers == contract.OwnHeaders() {
+		c.admission.Nested = n > 0
 		c.workerHeaders = []hop.Field{
 			{Name: contract.DepthHeader, Value: strconv.Itoa(n + 1)},
 			{Name: contract.VersionHeader, Value: c.view.version},
@@ -352,8 +353,9 @@
 	if d.End.IsZero() {
 		return hop.Result{}
 	}
-	if e := l.ExpectedTime(k, c.admission.Kind, now); !d.Allows(now, c.deadline, e) {
-		return hop.NotRun(result.Leaving, d.Text(now, e))
+	b := contract.Begin{Arrived: c.admission.Arrived, Deadline: c.deadline, Expected: l.ExpectedTime(k, c.admission.Kind, now), Nested: c.admission.Nested}
+	if !d.Allows(now, b) {
+		return hop.NotRun(result.Leaving, d.Text(now, b))
 	}
 	return hop.Result{}
 }
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -224,7 +224,12 @@
 	go func() { results <- forwardTo(c, d.daemons[stopping].Settings().LinkAddress, holdPath) }()
 	d.wait("the worker runs it", func() bool { return d.workers[stopping].Total() > runs })
 	stopped := d.stopAnnounced()
-	if s := post(c, d.daemons[2].Settings().CallAddress); s != "" {
+	q, err := newPost(d.daemons[stopping].Settings().CallAddress, "/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set(contract.DepthHeader, "1") // as the worker forwards it
+	if s := send(c, q); s != "" {
 		t.Errorf("the call during the drain failed: %s", s)
 	}
 	close(h.release)
@@ -234,6 +239,28 @@
 	<-stopped
 }
 
+// TestDrainCutsOffNoLateRequestOfAnyLength guards against a stopping daemon that takes a request because others of its kind are short, and cuts it off at its limit.
+func TestDrainCutsOffNoLateRequestOfAnyLength(t *testing.T) {
+	t.Parallel()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d, h := newHold(t, c)
+	defer close(h.release)
+	held := make(chan string, 64)
+	n := d.occupy(c, held)
+	stopped := d.stopAnnounced()
+	before := d.runs()
+	if s := postTo(c, d.daemons[stopping].Settings().CallAddress, holdPath); !isNotRun(s) {
+		t.Errorf("got %q, want 503, not run", s)
+	}
+	if k := d.runs() - before; k > 0 {
+		t.Errorf("%d late requests were sent to a worker", k)
+	}
+	<-stopped
+	for range n {
+		<-held
+	}
+}
+
 // TestDrainGivesNoAnswerForWorkerAtWork guards against a stopping daemon that answers in place of a worker that is at work.
 func TestDrainGivesNoAnswerForWorkerAtWork(t *testing.T) {
 	t.Parallel()
--- a/daemon/drainhold_test.go
+++ b/daemon/drainhold_test.go
@@ -85,6 +85,9 @@
 		defer close(stopped)
 		d.stop(stopping)
 	}()
-	d.wait("the drain is announced", func() bool { return d.daemons[stopping].worker.Drain().Announced })
+	d.wait("the drain is announced", func() bool {
+		t := d.daemons[stopping].worker.Drain().AnnouncedAt
+		return !t.IsZero() && !time.Now().Before(t)
+	})
 	return stopped
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -34,6 +34,7 @@
 	leaveNoticeTimeout = 500 * time.Millisecond  // within the time from the drain limit until the process is killed
 	notReadyAnswersMin = 2                       // a daemon gets no new callers after so many answers that it is not ready
 	notReadyTimeout    = 2500 * time.Millisecond // for those answers; readiness is polled once a second
+	announceTimeMax    = notReadyTimeout + leaveNoticeDelay
 )
 
 // listeners are the open addresses of a daemon, one for each kind of client.
@@ -338,8 +339,9 @@
 	limit := time.Duration(d.settings.DrainLimit)
 	x, stop := context.WithTimeout(y, limit)
 	defer stop()
-	e := contract.Drain{End: d.now().Add(limit)}
-	d.worker.SetDrain(e, d.now())
+	now := d.now()
+	e := contract.Drain{End: now.Add(limit), AnnouncedAt: now.Add(announceTimeMax)}
+	d.worker.SetDrain(e, now)
 	defer time.AfterFunc(max(0, limit-contract.AnswerTime), d.worker.EndWaits).Stop()
 	d.event(x, event.Draining, slog.Int("InFlight", d.worker.InFlight()))
 	d.awaitNotReadyAnswers(x)
@@ -348,8 +350,10 @@
 		c.updateSelf(c.d.now())
 	})
 	pause(x, leaveNoticeDelay)
-	e.Announced = true
-	d.worker.SetDrain(e, d.now())
+	if now = d.now(); now.Before(e.AnnouncedAt) {
+		e.AnnouncedAt = now
+	}
+	d.worker.SetDrain(e, now)
 	for w := d.worker.Waits(); d.worker.InFlight() > 0 && pause(w, drainPollInterval); {
 		continue
 	}
--- a/upstream/drain.go
+++ b/upstream/drain.go
@@ -36,14 +36,16 @@
 // isLate reports whether the drain does not allow the request q to begin after the
 // wait.
 func (g *Gate) isLate(q AdmissionRequest, wait time.Duration, now time.Time) bool {
-	if g.drain.End.IsZero() {
-		return false
-	}
-	e := g.knownServiceTime(q.Kind)
-	if e > 0 {
-		e += wait
+	return !g.drain.Allows(now, g.begin(q, wait))
+}
+
+// begin describes the request q, which begins after the wait, to the drain.
+func (g *Gate) begin(q AdmissionRequest, wait time.Duration) contract.Begin {
+	b := contract.Begin{Arrived: q.Arrived, Deadline: q.Deadline, Expected: g.knownServiceTime(q.Kind), Nested: q.Nested}
+	if b.Expected > 0 {
+		b.Expected += wait
 	}
-	return !g.drain.Allows(now, q.Deadline, e)
+	return b
 }
 
 // knownServiceTime is like kindServiceTime, but 0 before the first request.
@@ -59,7 +61,8 @@
 	}
 	k.gate.mu.Lock()
 	defer k.gate.mu.Unlock()
-	return k.gate.drain.Text(q.Now(), k.gate.knownServiceTime(q.Kind))
+	now := q.Now()
+	return k.gate.drain.Text(now, k.gate.begin(q.AdmissionRequest, 0))
 }
 
 // SetDrain sets when the daemon stops, for the requests of callers and of other
--- a/upstream/drain_test.go
+++ b/upstream/drain_test.go
@@ -62,7 +62,8 @@
 			})
 		}
 		synctest.Wait()
-		g.SetDrain(contract.Drain{End: now.Add(5 * time.Second), Announced: true}, now)
+		now = now.Add(time.Millisecond)
+		g.SetDrain(contract.Drain{End: now.Add(5 * time.Second), AnnouncedAt: now}, now)
 		synctest.Wait()
 		if g.InFlight() != 3 {
 			t.Fatalf("%d in flight or waiting, want 3: both fit", g.InFlight())
@@ -92,7 +93,8 @@
 		waiting := make(chan result.Code, 1)
 		go func() { waiting <- g.EnterBody(t.Context(), now, q, 9000) }()
 		synctest.Wait()
-		g.SetDrain(contract.Drain{End: now.Add(5 * time.Second), Announced: true}, now)
+		now = now.Add(time.Millisecond)
+		g.SetDrain(contract.Drain{End: now.Add(5 * time.Second), AnnouncedAt: now}, now)
 		g.LeaveBody(now.Add(3*time.Second), 9000)
 		if c := <-waiting; c != result.Leaving {
 			t.Errorf("got %s, want %s", c, result.Leaving)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -48,10 +48,20 @@
 	Rank     int       // lower ranks are admitted first, starting with 0
 	Goal     time.Time // latency target, after which an answer is worth less; zero for none
 	Deadline time.Time // after which an answer is worth nothing; zero for none
+	Arrived  time.Time // at the daemon, zero for the time at which it enters the gate
+	Nested   bool      // a call of the worker of this daemon, see contract.Begin
 	NoWait   bool      // reject instead of queueing, as another worker may have a free slot
 	WaitEnd  time.Time // until which the request may wait; zero if only its context limits that
 }
 
+// withArrival returns q with the time now for its arrival if it has none.
+func (q AdmissionRequest) withArrival(now time.Time) AdmissionRequest {
+	if q.Arrived.IsZero() {
+		q.Arrived = now
+	}
+	return q
+}
+
 // Gate is the admission control of a worker: it admits as many requests as the
 // worker has slots and decides which of the others wait and which are rejected.
 // It also keeps to the worker's rate limit, which requests wait for as for a slot.
@@ -270,6 +280,7 @@
 // or CallerGone. Leave releases the slot.
 func (g *Gate) Enter(x context.Context, now time.Time, q AdmissionRequest) result.Code {
 	g.mu.Lock()
+	q = q.withArrival(now)
 	if g.isLate(q, 0, now) {
 		g.mu.Unlock()
 		return result.Leaving
--- a/upstream/gate_body.go
+++ b/upstream/gate_body.go
@@ -35,6 +35,7 @@
 // in Enter, and rejects a body that would arrive too late before it is sent.
 func (g *Gate) EnterBody(x context.Context, now time.Time, q AdmissionRequest, n int64) result.Code {
 	g.mu.Lock()
+	q = q.withArrival(now)
 	w := &waiter{AdmissionRequest: q, serviceTime: g.kindServiceTime(q.Kind), bodyBytes: n, decision: make(chan result.Code, 1)}
 	if g.isLate(q, g.transferTime(n), now) {
 		g.mu.Unlock()
