daemon: notice the crash of a worker that has repeated its announcement

Cause: the report that a worker takes no connections bears the announcement with which the gate was last set. It was compared with the last announcement as a whole, and on the users' platform each check-in has another sequence. What found the crash later found it too late: a broken connection counted for 3 s before that, the next start came after 4 s, the lapse after 4.5 s.

Now the start and the address are compared. Broken connections count since the worker's last sign of life, however late the crash is found. Since reports have an effect now, only a refused connection makes one, not a reset by a full worker or a time-out that expired while the daemon was suspended; and a worker that ends while it leaves makes no request suspect.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -249,7 +249,9 @@
 		return
 	}
 	c.d.event(c.x, event.WorkerLost, slog.String("Service", c.announcement.Service), slog.String("ID", c.announcement.ID), slog.String("Cause", cause), slog.Duration("SilentFor", now.Sub(c.announcedAt)))
-	c.workerCrashed(now, cause)
+	if c.announcement.State == instance.Ready.String() { // one that leaves ends on its own
+		c.workerCrashed(now, cause)
+	}
 	c.announcement.State = instance.Left.String()
 	c.updateSelf(now)
 }
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -141,10 +141,13 @@
 	return a.ID != "" || c.announcement.State == instance.Draining.String()
 }
 
-// workerUnreachable marks the worker as lost unless it has announced itself
-// since the calls that found it unreachable.
+// workerUnreachable marks the worker that announced a as lost, unless another start of it
+// has announced itself since the calls that found it unreachable. Only the start counts:
+// a running worker repeats its announcement, each time with another sequence.
 func (c *control) workerUnreachable(a upstream.Announcement, now time.Time) {
-	if c.announcement != a || a.State == "" {
+	o := c.announcement
+	if a.State == "" || !a.IsSameWorker(o) {
+		c.d.event(c.x, event.ReportOutdated, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence), slog.String("LastID", o.ID), slog.Uint64("LastSequence", o.Sequence), slog.String("LastState", o.State))
 		return
 	}
 	c.workerLost(now, "unreachable")
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -61,7 +61,7 @@
 
 // workerCrashed suspects the requests that were at the worker when it crashed.
 func (c *control) workerCrashed(now time.Time, cause string) {
-	c.mergeSuspects(c.d.worker.Crashed(now), cause)
+	c.mergeSuspects(c.d.worker.Crashed(now, c.announcedAt), cause)
 }
 
 // reportCleared reports to the control goroutine that a worker answered the
--- a/event/event.go
+++ b/event/event.go
@@ -55,6 +55,7 @@
 	Panicked
 	WorkerNoticed
 	WorkerUnready
+	ReportOutdated
 )
 
 // Events of the connection to the platform.
@@ -122,6 +123,7 @@
 	{Panicked, "Panicked", slog.LevelError, "A task or the handling of a message panicked; the daemon continues without it."},
 	{WorkerNoticed, "WorkerNoticed", slog.LevelInfo, "The worker states another rate limit in its answers, or that it is leaving; Sent is the number of requests that it got in Period, since the notice before."},
 	{WorkerUnready, "WorkerUnready", slog.LevelInfo, "The worker answered a health check that it is not ready, or another start of it answered (Answered is its ID); the announcement held, if any, is dropped."},
+	{ReportOutdated, "ReportOutdated", slog.LevelInfo, "The worker takes no connection, or another one has its address, but another start of it has announced itself since; the report is ignored."},
 	{PlatformLost, "PlatformLost", slog.LevelWarn, "The platform does not answer; the daemon keeps serving the configuration in force."},
 	{PlatformBack, "PlatformBack", slog.LevelInfo, "The platform answers again."},
 	{WatchStarted, "WatchStarted", slog.LevelDebug, "This daemon watches the platform for its site."},
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -89,14 +89,18 @@
 	w.RecordFailure(2, 0, at(100))
 	w.RecordAnswer(at(50)) // an answer to a request sent before the break proves nothing
 	w.RecordFailure(3, 1, at(200))
-	if d := cmp.Diff([]poison.Suspect{{Request: 2, Level: 1}, {Request: 3, Level: 2}}, w.Crashed(at(300))); d != "" {
+	if d := cmp.Diff([]poison.Suspect{{Request: 2, Level: 1}, {Request: 3, Level: 2}}, w.Crashed(at(300), at(300))); d != "" {
 		t.Errorf("(-want +got)\n%s", d)
 	}
-	if s := w.Crashed(at(400)); s != nil {
+	if s := w.Crashed(at(400), at(400)); s != nil {
 		t.Errorf("one crash counted twice: %v", s)
 	}
 	w.RecordFailure(4, 0, at(500))
-	if s := w.Crashed(at(3500)); s != nil {
+	if s := w.Crashed(at(3500), at(501)); s != nil {
 		t.Errorf("a request was suspected whose connection broke long before the crash: %v", s)
 	}
+	w.RecordFailure(5, 0, at(4000)) // the last that is heard of the worker
+	if d := cmp.Diff([]poison.Suspect{{Request: 5, Level: 1}}, w.Crashed(at(9000), at(4000))); d != "" {
+		t.Errorf("a crash that is detected late (-want +got)\n%s", d)
+	}
 }
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -7,8 +7,9 @@
 
 const (
 	// crashWindow is how long before a crash is detected it may have broken the
-	// connection of a request. A crash is detected when the next connection fails
-	// or the worker announces its restart.
+	// connection of a request although the worker gave a sign of life after that, which
+	// may have been late. A crash is detected when a connection is refused, the worker
+	// announces its restart, or its announcements lapse.
 	crashWindow = 3 * time.Second
 	// failuresMax bounds the requests that are recorded for one crash.
 	failuresMax = 64
@@ -44,12 +45,13 @@
 }
 
 // Crashed returns the suspects after a crash of the worker that was detected
-// at the time now: each request whose connection may have been broken by the
-// crash, one level higher than before. It forgets all recorded requests.
-func (w *Watch) Crashed(now time.Time) []Suspect {
+// at the time now, when its last sign of life was at the time aliveAt: each request whose
+// connection may have been broken by the crash, one level higher than before. It forgets
+// all recorded requests.
+func (w *Watch) Crashed(now, aliveAt time.Time) []Suspect {
 	var r []Suspect
 	for _, b := range w.failures {
-		if now.Sub(b.at) < crashWindow {
+		if now.Sub(b.at) < crashWindow || !b.at.Before(aliveAt) {
 			r = append(r, Suspect{Request: b.request, Level: b.level + 1})
 		}
 	}
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -44,6 +44,16 @@
 	return a.ID != o.ID || o.Born > 0 && a.Born > o.Born
 }
 
+// IsSameWorker reports whether a and o come from the same start of the worker at the same
+// address. Announcements without an id tell nothing of the start: two that differ may be
+// from two.
+func (a Announcement) IsSameWorker(o Announcement) bool {
+	if a.ID == "" {
+		return a == o
+	}
+	return !a.IsOtherStart(o) && !o.IsOtherStart(a) && a.Address == o.Address
+}
+
 // formerIDsMax bounds the ids of former workers that a History keeps.
 const formerIDsMax = 32
 
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"figwheel/contract"
@@ -348,27 +349,29 @@
 	}
 }
 
-// probe checks whether a worker whose connection broke still accepts connections.
-// One that crashed does not, and this must be known before the request is sent
-// again.
+// probe checks whether a worker whose connection broke or failed still listens. One that
+// crashed does not, and this must be known before the request is sent again. Only a
+// refused connection shows it: a worker that is full resets connections, and a daemon that
+// was suspended finds its time-outs expired.
 func (k *Worker) probe(x context.Context, s *workerState) {
 	c, err := hop.Dialer(probeTimeout).DialContext(x, "tcp", s.Address)
 	if err == nil {
 		_ = c.Close()
 		return
 	}
-	if x.Err() == nil && k.Unreachable != nil {
+	if errors.Is(err, syscall.ECONNREFUSED) && k.Unreachable != nil {
 		k.Unreachable(s.Announcement)
 	}
 }
 
-// Crashed returns the requests to suspect after a crash of the worker that was
-// detected at the time now.
-func (k *Worker) Crashed(now time.Time) []poison.Suspect {
+// Crashed returns the requests to suspect after a crash of the worker that was detected at
+// the time now, when it last announced itself at announcedAt.
+func (k *Worker) Crashed(now, announcedAt time.Time) []poison.Suspect {
+	aliveAt := now.Add(-min(now.Sub(announcedAt), k.SilentFor(now)))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.hasFailures.Store(false)
-	return k.crashWatch.Crashed(now)
+	return k.crashWatch.Crashed(now, aliveAt)
 }
 
 // headerFields returns the headers to add to the request to the worker. The time
@@ -401,7 +404,10 @@
 		}
 		return
 	}
-	if (f.Code == result.ConnectFailed || f.Code == result.WrongInstance) && k.Unreachable != nil {
+	switch {
+	case f.Code == result.ConnectFailed:
+		k.probe(x, s)
+	case f.Code == result.WrongInstance && k.Unreachable != nil:
 		k.Unreachable(s.Announcement)
 	}
 }
