daemon: let only check-ins that the worker confirms displace a worker

Other odd check-ins, as operators of similar systems report them, did the same: slots that do not fit into 32 bits, a port out of range, an unknown service, a start in the far future.

Cause: whatever could be decoded counted as a worker. A new id displaced the one in use and made it a former one for good; a later start time or a higher sequence did so within one id.

Now each start has to confirm itself once in a health check before its announcement applies, not only the first one of a process; it answers at the address of the settings, which a check-in has to name too. A confirmed start replaces another one whatever their start times, so that a time of day that was set back does no harm either. A check-in that drains counts also with a low sequence. Ports, slots, start times and sequences out of range are answered 400 with FW code BadAnnouncement. A worker that was lost has to confirm itself again.

Ruled out: that a check-in ends the process; deep nesting and large numbers are errors of encoding/json.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -253,29 +253,56 @@
 		c.workerCrashed(now, cause)
 	}
 	c.announcement.State = instance.Left.String()
+	c.confirmation.Forget()
 	c.updateSelf(now)
 }
 
 // applyAnnouncement applies the worker's announcement a. It returns an error if
-// a is older than what is known. After a start this daemon does not know which
-// announcements its earlier process acknowledged: the first one that the worker is
-// ready is applied once the worker confirms it.
+// a is older than what is known or cannot come from the worker beside this daemon. An
+// announcement that a start is ready which this process has not heard of is applied once
+// the worker confirms it.
 func (c *control) applyAnnouncement(a upstream.Announcement, now time.Time) error {
-	if c.d.canAskWorker() && c.confirmation.Hold(a, now) {
-		c.d.event(c.x, event.AnnouncementDoubted, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence))
-		c.askWorker()
+	if err := c.checkOrigin(a); err != nil {
+		c.logRefused(a, err)
+		return err
+	}
+	if c.needsConfirmation(a) && c.confirmation.Hold(a, now) {
+		c.d.event(c.x, event.AnnouncementDoubted, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence), slog.String("Service", a.Service))
+		c.askWorkerAgain(now)
 		return nil
 	}
-	return c.applyConfirmed(a, now)
-}
-
-// applyConfirmed applies the announcement a, which needs no confirmation by the worker.
-func (c *control) applyConfirmed(a upstream.Announcement, now time.Time) error {
 	a, err := c.history.Apply(a)
 	if err != nil {
-		c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
+		c.logRefused(a, err)
 		return err
 	}
+	c.announce(a, now)
+	return nil
+}
+
+// checkOrigin returns an error of code BadAnnouncement if the announcement a cannot come
+// from the worker beside this daemon: it names another address than the settings, or
+// another service than the settings and an earlier announcement of the same start.
+func (c *control) checkOrigin(a upstream.Announcement) error {
+	o := c.announcement
+	switch {
+	case a.State == instance.Left.String():
+		return nil
+	case c.d.canAskWorker() && a.Address != c.settings.WorkerAddress:
+		return result.New(result.BadAnnouncement, "worker %s announces the address %s, the settings have %s", a.ID, a.Address, c.settings.WorkerAddress)
+	case a.ID != "" && o.Sequence > 0 && a.IsSameWorker(o) && a.Service != o.Service && a.Service != c.settings.Service:
+		return result.New(result.BadAnnouncement, "worker %s announces the service %s after %s", a.ID, a.Service, o.Service)
+	}
+	return nil
+}
+
+// logRefused logs that the announcement a is refused with err.
+func (c *control) logRefused(a upstream.Announcement, err error) {
+	c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
+}
+
+// announce applies the announcement a, which is current.
+func (c *control) announce(a upstream.Announcement, now time.Time) {
 	o := c.announcement
 	if o.State == instance.Ready.String() && a.IsOtherStart(o) {
 		c.workerCrashed(now, "started again") // the earlier start did not announce that it leaves
@@ -289,7 +316,6 @@
 		c.d.event(c.x, event.WorkerAnnounced, slog.String("Service", a.Service), slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Address", a.Address), slog.Uint64("Sequence", a.Sequence))
 		c.updateSelf(now)
 	}
-	return nil
 }
 
 // updateSelf updates this instance's record. The instance is ready only if its
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -156,9 +156,9 @@
 const (
 	// askWorkerTimeout bounds one health check of the worker.
 	askWorkerTimeout = time.Second
-	// askWorkerInterval is the time between two health checks of a worker that does not
-	// answer them, while an announcement waits for the answer.
-	askWorkerInterval = 500 * time.Millisecond
+	// askWorkerInterval is the least time between two health checks of a worker, as long
+	// as they confirm no announcement.
+	askWorkerInterval = 250 * time.Millisecond
 	// provisionalSlots is assumed for a worker that answers a health check, as
 	// long as neither it nor another instance of its service has announced its
 	// slots. Few workers have fewer.
@@ -170,6 +170,29 @@
 	return d.edge.AskWorker != nil && d.settings.WorkerAddress != ""
 }
 
+// needsConfirmation reports whether the worker can confirm the announcement a, and has to
+// if it has not done so. The order of announcements alone decides on a start that is
+// leaving or was replaced.
+func (c *control) needsConfirmation(a upstream.Announcement) bool {
+	if !c.d.canAskWorker() || c.history.IsLeaving(a.ID) {
+		return false
+	}
+	if c.serving == nil {
+		return true
+	}
+	s, ok := c.workerService(a)
+	return !ok || s.HealthPath != ""
+}
+
+// workerService returns the service whose health check the worker that announced a
+// answers: its own, or that of the settings if the configuration does not have it.
+func (c *control) workerService(a upstream.Announcement) (*site.Service, bool) {
+	if s, ok := c.serving.Service(a.Service); ok {
+		return s, true
+	}
+	return c.serving.Service(c.settings.Service)
+}
+
 // heldAnnouncement returns the announcement that waits for the worker's confirmation.
 // Its ID is empty if there is none.
 func (c *control) heldAnnouncement(now time.Time) upstream.Announcement {
@@ -185,17 +208,15 @@
 	if c.workerBeingAsked || c.serving == nil || !c.d.canAskWorker() {
 		return
 	}
-	a := c.heldAnnouncement(c.d.now())
-	s, ok := c.serving.Service(a.Service)
-	if !ok {
-		s, ok = c.serving.Service(c.settings.Service)
-	}
+	now := c.d.now()
+	s, ok := c.workerService(c.heldAnnouncement(now))
 	if !ok || s.HealthPath == "" {
 		c.workerAsked = true
-		if ok {
-			c.applyHeld(c.confirmation.Waive())
+		if a := c.heldAnnouncement(now); ok && a.ID != "" {
+			c.confirmation.Answer("")
+			_ = c.applyAnnouncement(a, now) // logged; nothing can confirm it
 		}
-		c.updateSelf(c.d.now())
+		c.updateSelf(now)
 		return
 	}
 	c.workerBeingAsked = true
@@ -211,8 +232,8 @@
 	})
 }
 
-// askWorkerAgain repeats a health check that was not answered while an announcement
-// waits for it.
+// askWorkerAgain asks the worker if an announcement waits for its confirmation and the
+// last health check is long enough ago.
 func (c *control) askWorkerAgain(now time.Time) {
 	if c.heldAnnouncement(now).ID != "" && !now.Before(c.nextAsk) {
 		c.askWorker()
@@ -226,13 +247,12 @@
 		c.d.worker.RecordHealth(h, now) // before the worker gets its first request
 	}
 	c.workerAsked, c.workerBeingAsked = true, false
+	c.nextAsk = now.Add(askWorkerInterval)
 	switch {
 	case ran && h.ID != "" && !h.Notice.IsLeaving():
 		c.confirmWorker(h.ID, now)
 	case ran || h.Notice.IsLeaving():
 		c.dropHeld()
-	default:
-		c.nextAsk = now.Add(askWorkerInterval)
 	}
 	c.updateSelf(now)
 }
@@ -240,37 +260,44 @@
 // confirmWorker applies the answer of the worker whose start has the ID that it is
 // ready.
 func (c *control) confirmWorker(id string, now time.Time) {
-	if c.history.IsLeaving(id) {
-		return // it has announced so since it answered
+	a, t, dropped := c.confirmation.Answer(id)
+	_, known := c.serving.Service(a.Service)
+	if a.ID != "" && !known {
+		dropped = append(dropped, a)
 	}
-	a, t, confirmed := c.confirmation.Answer(id)
-	if confirmed {
-		c.applyHeld(a, t)
+	c.logUnready(dropped, id)
+	if known {
+		c.nextAsk = time.Time{}
+		a, err := c.history.Accept(a)
+		if err != nil {
+			c.logRefused(a, err) // its sender has got an acknowledgement
+			return
+		}
+		c.announce(a, t)
 		return
 	}
-	if a.ID != "" {
-		c.logUnready(a, id)
+	if c.history.IsLeaving(id) {
+		c.confirmation.Forget() // it has announced that it leaves since it answered
+		return
 	}
 	c.foundWorker(id, now)
 }
 
-// applyHeld applies the announcement a that was held since it arrived at t.
-func (c *control) applyHeld(a upstream.Announcement, t time.Time) {
-	if a.ID != "" {
-		_ = c.applyConfirmed(a, t) // logged; its sender has got an acknowledgement
-	}
-}
-
-// dropHeld drops the announcement that is held: the worker is not ready.
+// dropHeld drops the announcements that are held: the worker is not ready.
 func (c *control) dropHeld() {
-	a, _, _ := c.confirmation.Answer("")
-	c.logUnready(a, "")
+	_, _, l := c.confirmation.Answer("")
+	c.logUnready(l, "")
 }
 
-// logUnready logs that the announcement a, whose ID is empty if there is none, is dropped
-// because the worker is not ready or the start with the id answered.
-func (c *control) logUnready(a upstream.Announcement, id string) {
-	c.d.event(c.x, event.WorkerUnready, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence), slog.String("Answered", id))
+// logUnready logs that the announcements l are dropped because the worker is not ready, or
+// because its start with the id answered.
+func (c *control) logUnready(l []upstream.Announcement, id string) {
+	for _, a := range l {
+		c.d.event(c.x, event.WorkerUnready, slog.String("ID", a.ID), slog.Uint64("Sequence", a.Sequence), slog.String("Service", a.Service), slog.String("Answered", id))
+	}
+	if len(l) == 0 && id == "" {
+		c.d.event(c.x, event.WorkerUnready)
+	}
 }
 
 // foundWorker treats the worker whose start has the ID as ready until it
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -38,6 +39,41 @@
 	ColdLeft time.Duration `json:"-"` // how much longer the worker is slow after its start
 }
 
+// Bounds of an announcement.
+const (
+	slotsMax     = 10_000
+	nameBytesMax = 256       // of an id and of a service
+	bornAheadMax = time.Hour // of a start after the present time, which clocks do not agree on
+	sequenceMax  = 1<<53 - 1 // the largest integer that each JSON encoder keeps
+)
+
+// Check returns an error of code BadAnnouncement if a cannot come from a worker at the
+// time now. An announcement of the state Left has no other fields but an ID.
+func (a Announcement) Check(now time.Time) error {
+	switch {
+	case len(a.ID) > nameBytesMax, len(a.Service) > nameBytesMax:
+		return result.New(result.BadAnnouncement, "announcement with an id of %d and a service of %d bytes; the limit is %d", len(a.ID), len(a.Service), nameBytesMax)
+	case a.ID != "" && a.State == leftState:
+		return nil
+	case a.Service == "":
+		return result.New(result.BadAnnouncement, "announcement of %s without a service", a.ID)
+	case a.Slots < 0 || a.Slots > slotsMax:
+		return result.New(result.BadAnnouncement, "announcement of %s with %d slots; the limit is %d", a.ID, a.Slots, slotsMax)
+	case a.Born < 0 || a.Born > now.Add(bornAheadMax).UnixMilli():
+		return result.New(result.BadAnnouncement, "announcement of %s with a start at %d ms, now is %d ms", a.ID, a.Born, now.UnixMilli())
+	case a.Sequence > sequenceMax:
+		return result.New(result.BadAnnouncement, "announcement of %s with the sequence %d", a.ID, a.Sequence)
+	}
+	h, p, err := net.SplitHostPort(a.Address)
+	if err != nil {
+		return result.Wrap(result.BadAnnouncement, err, "announcement of %s", a.ID)
+	}
+	if n, err := strconv.ParseUint(p, 10, 16); err != nil || n == 0 || h == "" {
+		return result.New(result.BadAnnouncement, "announcement of %s with the address %q", a.ID, a.Address)
+	}
+	return nil
+}
+
 // IsOtherStart reports whether a comes from another start of the worker than o:
 // the ids differ, or both have a start time and that of a is later.
 func (a Announcement) IsOtherStart(o Announcement) bool {
@@ -96,7 +132,9 @@
 		return n, nil
 	}
 	restarted := a.Born > h.last.Born && h.last.Born > 0
-	if a.Sequence <= h.last.Sequence && !restarted || a.Born > 0 && a.Born < h.last.Born {
+	// A start that drains does not take that back, so that this is true also when late.
+	late := a.Sequence <= h.last.Sequence && (a.State == readyState || h.last.State == leftState)
+	if late && !restarted || a.Born > 0 && a.Born < h.last.Born {
 		return a, result.New(result.OldAnnouncement, "worker %s said %d after %d", a.ID, a.Sequence, h.last.Sequence)
 	}
 	// A worker that is draining or has left is ready again only after a restart.
@@ -113,6 +151,20 @@
 	return id != "" && (h.last.ID == id && h.last.State != readyState || slices.Contains(h.formerIDs, id))
 }
 
+// Accept is like Apply for an announcement that the worker has confirmed, unless it is
+// leaving. It replaces the last one whatever their start times and sequences: the time of
+// day may have been set back, and the last one may be of another writer.
+func (h *History) Accept(a Announcement) (Announcement, error) {
+	if a.ID == h.last.ID && h.last.State != readyState {
+		return h.Apply(a)
+	}
+	if a.ID != h.last.ID {
+		h.recordFormer(h.last.ID)
+	}
+	h.last = a
+	return a, nil
+}
+
 // recordFormer adds id to the ids of former workers and drops the oldest one if
 // there are too many.
 func (h *History) recordFormer(id string) {
@@ -142,11 +194,15 @@
 // ServeHTTP implements http.Handler.
 func (h AnnounceHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a, err := readAnnouncement(w, r)
+	now := h.Now()
+	if err == nil {
+		err = a.Check(now)
+	}
 	if err != nil {
 		http.Error(w, result.Wrap(result.BadAnnouncement, err, "announcement").Error(), http.StatusBadRequest)
 		return
 	}
-	h.Take(a, h.Now())
+	h.Take(a, now)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -160,12 +216,6 @@
 	if err := d.Decode(&a); err != nil {
 		return a, upstreamError.Wrap(err)
 	}
-	if a.Service == "" || a.Slots < 0 {
-		return a, upstreamError.New("an announcement needs a Service, and Slots not below 0")
-	}
-	if _, _, err := net.SplitHostPort(a.Address); err != nil {
-		return a, upstreamError.Wrap(err)
-	}
 	switch a.State {
 	case "Starting", "Ready", "Draining", "Left":
 		return a, nil
--- a/upstream/confirm.go
+++ b/upstream/confirm.go
@@ -1,68 +1,83 @@
 package upstream
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Confirmation decides which announcements apply after a start of the daemon. An
-// earlier process may have acknowledged that the worker leaves, and an announcement
-// from before that may arrive late. So the first announcement that a worker is ready is
-// held until the worker itself answers a health check with the same id. After that,
-// History alone decides. The zero value holds all of them.
+// heldMax bounds the announcements that a Confirmation holds, one of each id.
+const heldMax = 8
+
+// Confirmation decides which announcements that a worker is ready need the worker's own
+// word: all from a start that has not answered a health check yet. Announcements may
+// arrive late, after an earlier process of the daemon has acknowledged that the worker
+// leaves, and may come from another writer; an answer at the worker's address may not.
+// The zero value trusts no start.
 type Confirmation struct {
-	done      bool
-	id        string       // of the start that answered the last health check, empty if none is ready
-	held      Announcement // the newest one that is held, its ID is empty if there is none
-	arrivedAt time.Time    // of held
+	id   string // of the start that answered the last health check, empty if none is ready
+	held []heldAnnouncement
+}
+
+// heldAnnouncement is the newest announcement of a start that awaits confirmation.
+type heldAnnouncement struct {
+	Announcement
+	arrivedAt time.Time
 }
 
 // Hold reports whether the announcement a that arrives at now must not be applied before
 // the worker confirms it, and keeps it until then.
 func (c *Confirmation) Hold(a Announcement, now time.Time) bool {
-	switch {
-	case c.done || a.ID == "":
+	if a.ID == "" || a.State == readyState && a.ID == c.id {
 		return false
+	}
+	i := slices.IndexFunc(c.held, func(h heldAnnouncement) bool { return h.ID == a.ID })
+	switch {
 	case a.State != readyState:
-		if a.ID == c.held.ID {
-			c.held = Announcement{}
+		if i >= 0 {
+			c.held = slices.Delete(c.held, i, i+1)
 		}
 		if a.ID == c.id {
 			c.id = ""
 		}
 		return false
-	case a.ID == c.id:
-		c.done = true
-		return false
-	}
-	if a.ID != c.held.ID || a.IsOtherStart(c.held) || a.Sequence > c.held.Sequence {
-		c.held, c.arrivedAt = a, now
+	case i < 0:
+		if len(c.held) == heldMax {
+			c.held = slices.Delete(c.held, 0, 1)
+		}
+		c.held = append(c.held, heldAnnouncement{a, now})
+	case a.IsOtherStart(c.held[i].Announcement) || a.Sequence > c.held[i].Sequence:
+		c.held[i] = heldAnnouncement{a, now}
 	}
 	return true
 }
 
 // Answer records the worker's answer to a health check: the id of the start that is
-// ready, empty if it is not ready. It returns the announcement that was held, whose ID is
-// empty if there was none, when it arrived, and whether it may be applied. It holds none
-// afterwards.
-func (c *Confirmation) Answer(id string) (a Announcement, arrivedAt time.Time, confirmed bool) {
-	a, arrivedAt = c.held, c.arrivedAt
-	c.held, c.id = Announcement{}, id
-	confirmed = id != "" && a.ID == id
-	c.done = c.done || confirmed
-	return a, arrivedAt, confirmed
+// ready, empty if it is not ready. It returns the announcement of that start that was held,
+// with its arrival, and those that are dropped. If there is none of it, its ID is empty.
+func (c *Confirmation) Answer(id string) (a Announcement, arrivedAt time.Time, dropped []Announcement) {
+	for _, h := range c.held {
+		if h.ID == id {
+			a, arrivedAt = h.Announcement, h.arrivedAt
+			continue
+		}
+		dropped = append(dropped, h.Announcement)
+	}
+	c.held, c.id = nil, id
+	return a, arrivedAt, dropped
 }
 
-// Waive lets all announcements apply, for a worker that has no health check. It returns
-// the one that was held like Answer.
-func (c *Confirmation) Waive() (a Announcement, arrivedAt time.Time) {
-	a, arrivedAt, _ = c.Answer("")
-	c.done = true
-	return a, arrivedAt
-}
+// Forget makes the start that answered the last health check answer another one before
+// its next announcement is applied.
+func (c *Confirmation) Forget() { c.id = "" }
 
-// Held returns the announcement that is held, unless it arrived longer than lapse before
-// now. Its ID is empty if there is none.
+// Held returns the last announcement that arrived of those that are held, unless that was
+// longer than lapse before now. Its ID is empty if there is none.
 func (c *Confirmation) Held(now time.Time, lapse time.Duration) Announcement {
-	if now.Sub(c.arrivedAt) >= lapse {
-		return Announcement{}
+	var l heldAnnouncement
+	for _, h := range c.held {
+		if now.Sub(h.arrivedAt) < lapse && !h.arrivedAt.Before(l.arrivedAt) {
+			l = h
+		}
 	}
-	return c.held
+	return l.Announcement
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -124,3 +125,91 @@
 		}
 	}
 }
+
+// TestConfirmationHoldsUnknownStarts guards against announcements that apply without the word of the worker, and against ones that displace the announcement that the worker will confirm.
+func TestConfirmationHoldsUnknownStarts(t *testing.T) {
+	now := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	a := func(id string, sequence uint64, state string) upstream.Announcement {
+		return upstream.Announcement{ID: id, Sequence: sequence, State: state}
+	}
+	const lapse = time.Minute
+	for _, c := range []struct {
+		name string
+		hold []upstream.Announcement
+		id   string // in the answer
+		want uint64 // sequence of the announcement that is confirmed, 0 if there is none
+		drop int
+	}{
+		{"nothing held", nil, "w-1", 0, 0},
+		{"confirmed", []upstream.Announcement{a("w-1", 3, "Ready")}, "w-1", 3, 0},
+		{"not ready", []upstream.Announcement{a("w-1", 3, "Ready")}, "", 0, 1},
+		{"another start", []upstream.Announcement{a("w-1", 3, "Ready")}, "w-2", 0, 1},
+		{"two starts", []upstream.Announcement{a("w-1", 3, "Ready"), a("w-2", 1, "Ready")}, "w-1", 3, 1},
+		{"the newest of a start", []upstream.Announcement{a("w-1", 3, "Ready"), a("w-1", 4, "Ready"), a("w-1", 2, "Ready")}, "w-1", 4, 0},
+		{"it leaves meanwhile", []upstream.Announcement{a("w-1", 3, "Ready"), a("w-1", 4, "Draining")}, "w-1", 0, 0},
+		{"another start leaves meanwhile", []upstream.Announcement{a("w-1", 3, "Ready"), a("w-2", 4, "Left")}, "w-1", 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var k upstream.Confirmation
+			for _, v := range c.hold {
+				if got, want := k.Hold(v, now), v.State == "Ready"; got != want {
+					t.Errorf("%+v is held: %t, want %t", v, got, want)
+				}
+			}
+			got, _, dropped := k.Answer(c.id)
+			if got.Sequence != c.want || len(dropped) != c.drop {
+				t.Errorf("got %+v and %d dropped, want the sequence %d and %d", got, len(dropped), c.want, c.drop)
+			}
+			if h := k.Held(now, lapse); h.ID != "" {
+				t.Errorf("%+v is still held", h)
+			}
+			if c.id != "" && k.Hold(a(c.id, 9, "Ready"), now) {
+				t.Error("a start that has answered is held")
+			}
+			k.Forget()
+			if !k.Hold(a("w-1", 9, "Ready"), now) {
+				t.Error("a start that has to answer again is not held")
+			}
+		})
+	}
+	var k upstream.Confirmation
+	for i := range 1000 {
+		k.Hold(a(fmt.Sprint(i), 1, "Ready"), now.Add(time.Duration(i)))
+	}
+	if h := k.Held(now.Add(1000), lapse); h.ID != "999" {
+		t.Errorf("the last one held is %s", h.ID)
+	}
+	if h := k.Held(now.Add(lapse+1000), lapse); h.ID != "" {
+		t.Errorf("%s is held beyond the lapse", h.ID)
+	}
+	if _, _, l := k.Answer(""); len(l) > 10 {
+		t.Errorf("%d announcements were held", len(l))
+	}
+}
+
+// TestHistoryAfterAnotherWriter guards against a worker whose check-ins are refused for good, so that its leaving is not acknowledged, because another writer has used its id with a higher sequence.
+func TestHistoryAfterAnotherWriter(t *testing.T) {
+	w := func(sequence uint64, state string) upstream.Announcement {
+		return upstream.Announcement{ID: "w", Born: 100, Sequence: sequence, State: state}
+	}
+	var h upstream.History
+	if _, err := h.Apply(w(1000, "Ready")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.Apply(w(2, "Ready")); result.CodeOf(err) != result.OldAnnouncement {
+		t.Errorf("a late one: %v, want %s", err, result.OldAnnouncement)
+	}
+	if _, err := h.Accept(w(3, "Ready")); err != nil {
+		t.Errorf("one that the worker confirms: %v", err)
+	}
+	if _, err := h.Apply(w(4, "Ready")); err != nil {
+		t.Errorf("the next one: %v", err)
+	}
+	_, _ = h.Apply(w(2000, "Ready"))
+	if a, err := h.Apply(w(5, "Draining")); err != nil || a.State != "Draining" {
+		t.Errorf("its leaving: %+v, %v", a, err)
+	}
+	if _, err := h.Accept(w(6, "Ready")); result.CodeOf(err) != result.OldAnnouncement {
+		t.Errorf("ready after it is leaving: %v, want %s", err, result.OldAnnouncement)
+	}
+}
