platform: read each object of a list by itself

Cause: Client.List and Client.Watch decoded a response as one JSON value. An object that is nested deeper than 10,000 levels, has a number that does not fit, or a string that is not base64 made the whole list an error, which was repeated for good. So no daemon read a roster or wrote one.

Ruled out: processes that end. encoding/json bounds the depth, numbers that do not fit are errors, and panics are caught; addresses that are none, with ports out of range too, only fail to be dialled.

A roster of the own site that cannot be read is replaced. Contents and audit records are read whatever lies beside them.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -171,26 +172,66 @@
 	})
 }
 
-// mergeObject merges a control object: the head or a roster.
+// mergeObject merges a control object: the head or a roster. It ignores one that cannot be
+// read, which another writer may have left.
 func (c *control) mergeObject(o store.Object) {
 	switch {
 	case o.Key == change.HeadKey:
 		h, err := change.DecodeHead(o.Value)
-		if err == nil && c.mergeHead(h) {
+		if err = cmp.Or(o.Fault, err); err != nil {
+			c.logUnreadable(o, err)
+			return
+		}
+		if c.mergeHead(h) {
 			c.watchedHeadAt = c.d.now()
 		}
 	case strings.HasPrefix(o.Key, rosterPrefix):
+		if _, err := decodeRoster(o); err != nil {
+			c.logUnreadable(o, err)
+			if o.Key != rosterPrefix+c.table.Self().Site {
+				return
+			}
+			o.Value = nil // this daemon may replace it
+		}
 		c.rosters[o.Key] = o
 		c.contactRoster(o)
+	case o.Fault != nil:
+		c.logUnreadable(o, o.Fault)
 	}
 }
 
+// logUnreadable logs that the object o is ignored, once for each of its versions.
+func (c *control) logUnreadable(o store.Object, err error) {
+	s := o.Key + " " + o.Version
+	if c.loggedFaults[s] || len(c.loggedFaults) >= loggedFaultsMax {
+		return
+	}
+	c.loggedFaults[s] = true
+	c.d.event(c.x, event.ObjectUnreadable, slog.String("Key", o.Key), slog.String("Version", o.Version), slog.String("Cause", err.Error()))
+}
+
+// decodeRoster returns the roster in o. Its error has the code BadAnswer.
+func decodeRoster(o store.Object) (roster, error) {
+	var r roster
+	err := o.Fault
+	if err == nil {
+		err = json.Unmarshal(o.Value, &r)
+	}
+	if err == nil && len(r.Instances) > rosterEntriesMax {
+		err = result.New(result.BadAnswer, "%d instances, the limit is %d", len(r.Instances), rosterEntriesMax)
+	}
+	if err != nil {
+		return roster{}, result.Wrap(result.BadAnswer, err, "roster %s", o.Key)
+	}
+	return r, nil
+}
+
 // contactRoster exchanges updates with up to joinPeers random instances of the
 // roster in o that are not known to be live.
 func (c *control) contactRoster(o store.Object) {
-	var r roster
-	if json.Unmarshal(o.Value, &r) != nil {
-		return
+	r, err := decodeRoster(o)
+	if err != nil {
+		return // logged when it was read
 	}
 	s := c.table.Self()
 	l := slices.DeleteFunc(r.Instances, func(e rosterEntry) bool {
--- a/daemon/foreign_test.go
+++ b/daemon/foreign_test.go
@@ -15,8 +15,8 @@
 // nested returns a JSON value of arrays in arrays, n levels deep.
 func nested(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
 
-// checkIn sends a check-in to the daemon i and returns the status of the answer.
-func (f *platformFleet) checkIn(i int, id, body string) int {
+// checkIn sends a check-in to the daemon i.
+func (f *platformFleet) checkIn(i int, id, body string) {
 	f.t.Helper()
 	q, err := http.NewRequestWithContext(f.t.Context(), http.MethodPut, "http://"+f.daemons[i].Settings().UpstreamAddress+"/api/instances/"+id, strings.NewReader(body))
 	if err != nil {
@@ -27,7 +27,6 @@
 		f.t.Fatal(err)
 	}
 	_ = p.Body.Close()
-	return p.StatusCode
 }
 
 // TestCheckInsOfOtherWriters guards against a daemon that ends, loses its worker or sends requests elsewhere because of a check-in that another writer has sent. Each arrives between two check-ins of the worker, and again as the first one after a restart of the daemon. The worker must stay in use, or be found, and go on being acknowledged.
--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,7 @@
 	AuditFailed
 	ConfigUnreadable
 	ConfigFault
+	ObjectUnreadable
 )
 
 // Events of calls.
@@ -131,6 +132,7 @@
 	{AuditFailed, "AuditFailed", slog.LevelWarn, "An audit record could not be written."},
 	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; the daemon keeps serving the configuration in force."},
 	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route or service of the platform's configuration is invalid; the others are served."},
+	{ObjectUnreadable, "ObjectUnreadable", slog.LevelWarn, "An object of the daemons on the platform cannot be read, as one of another writer; it is ignored. Logged once for each of its versions."},
 	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
 	{ConnectionCut, "ConnectionCut", slog.LevelWarn, "A caller's connection ended under a request that was read and not answered completely, and the caller had not left."},
--- a/store/audit.go
+++ b/store/audit.go
@@ -52,8 +52,8 @@
 }
 
 // ListAudit returns the newest n records of the last daysSearched days, counted
-// back from now, oldest first. The error is BadAnswer if a record cannot be
-// decoded.
+// back from now, oldest first. It leaves out objects that are no records, which another
+// writer may have left.
 func ListAudit(x context.Context, s Store, now time.Time, n int) ([]Audit, error) {
 	const daysSearched = 7
 	var r []Audit
@@ -65,10 +65,9 @@
 		var p []Audit
 		for _, o := range l.Objects {
 			var a Audit
-			if err := json.Unmarshal(o.Value, &a); err != nil {
-				return nil, result.Wrap(result.BadAnswer, err, "audit record %s", o.Key)
+			if o.Fault == nil && json.Unmarshal(o.Value, &a) == nil {
+				p = append(p, a)
 			}
-			p = append(p, a)
 		}
 		r = append(p, r...)
 	}
--- a/store/content.go
+++ b/store/content.go
@@ -110,15 +110,36 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(l.Objects) == 0 {
-		return nil, result.New(result.ContentMissing, "the platform does not hold content %s", hash)
+	m := make(map[string]Object, len(l.Objects))
+	for _, o := range l.Objects {
+		m[o.Key] = o
 	}
-	var z []byte
+	err = result.New(result.ContentMissing, "the platform does not hold content %s", hash)
+	// Only the names of the chunks say how many there are, and another writer may have left
+	// objects beside them.
 	for _, o := range l.Objects {
-		z = append(z, o.Value...)
+		var n int
+		if _, e := fmt.Sscanf(strings.TrimPrefix(o.Key, contentPrefix+hash), "-0000-of-%04d", &n); e != nil || o.Key != chunkKey(hash, 0, n) || n > len(l.Objects) {
+			continue
+		}
+		var d []byte
+		if d, err = joinChunks(m, hash, n); err == nil {
+			return d, nil
+		}
 	}
-	if k := l.Objects[0].Key; k != chunkKey(hash, 0, len(l.Objects)) {
-		return nil, result.New(result.ContentMissing, "content %s has %d chunks, the first is %s", hash, len(l.Objects), strings.TrimPrefix(k, contentPrefix))
+	return nil, err
+}
+
+// joinChunks returns the content with this hash from its n chunks in m, by key.
+func joinChunks(m map[string]Object, hash string, n int) ([]byte, error) {
+	var z []byte
+	for i := range n {
+		k := chunkKey(hash, i, n)
+		o, ok := m[k]
+		if !ok || o.Fault != nil {
+			return nil, result.New(result.ContentMissing, "content %s is without its chunk %s", hash, strings.TrimPrefix(k, contentPrefix))
+		}
+		z = append(z, o.Value...)
 	}
 	return DecompressVerified(z, nil, hash)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -17,11 +17,13 @@
 
 var storeError = errs.Class("store")
 
-// Object is a stored value. Versions may only be compared for equality.
+// Object is a stored value. Versions may only be compared for equality. Fault is set if
+// the value cannot be read, as one of another writer; the Value is then empty.
 type Object struct {
 	Key     string
 	Version string
 	Value   []byte
+	Fault   error
 }
 
 // Listing is the state of all objects under a prefix at one revision, after which
