caller: take the service where a request begins from the view

Cause: the handler got the service of the settings as a constant when the daemon started.

Now the service is part of the view. It follows the settings when they change and a start of the worker that announces another service, whichever comes last. It stays empty where the settings name none.

The set-up of caller.TestWorkerReceivesHeadersOfDaemonsNotOfCaller sets the service in the view.

--- a/caller/edge_test.go
+++ b/caller/edge_test.go
@@ -33,7 +33,7 @@
 	n.view.Store(caller.NewView(nil, nil))
 	tr := hop.NewTransport(0, time.Second, time.Minute)
 	t.Cleanup(tr.CloseIdleConnections)
-	n.call = start(t, &caller.Handler{Daemon: n, Worker: &n.worker, Transport: tr, Headers: h, Origin: "origin", Now: time.Now, Random: &sync.Pool{New: func() any { return rand.New(rand.NewPCG(1, 1)) }}})
+	n.call = start(t, &caller.Handler{Daemon: n, Worker: &n.worker, Transport: tr, Headers: h, Now: time.Now, Random: &sync.Pool{New: func() any { return rand.New(rand.NewPCG(1, 1)) }}})
 	n.link = start(t, &caller.LinkHandler{Daemon: n, Worker: &n.worker, Headers: h, Now: time.Now})
 	return n
 }
@@ -72,6 +72,7 @@
 		l = append(l, link.Candidate{Name: fmt.Sprint(i), Address: address(n.link), Slots: 2, SameSite: i == 0, Peer: &link.Peer{}})
 	}
 	w := caller.NewView(s, map[string]link.Candidates{"s": link.NewCandidates(l)})
+	w.Origin = "origin"
 	w.Retries = contract.RetryLimits{Percent: 100, Burst: 10}
 	e.view.Store(w)
 	return e
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -78,7 +78,6 @@
 	Now       func() time.Time
 	Random    *sync.Pool       // of *rand.Rand
 	Headers   contract.Headers // names of the headers that callers use
-	Origin    string           // service of the worker of this daemon
 	// ForwardedWaitMax is how long a request may wait at another daemon, see
 	// contract.ForwardedWaitMax; 0 if only its deadline limits that.
 	ForwardedWaitMax time.Duration
@@ -222,7 +221,7 @@
 		{Name: contract.ServiceHeader, Value: c.service.Name},
 		{Name: contract.RankHeader, Value: strconv.Itoa(c.admission.Rank)},
 		{Name: contract.KindHeader, Value: c.admission.Kind},
-		{Name: contract.OriginHeader, Value: h.Origin},
+		{Name: contract.OriginHeader, Value: c.view.Origin},
 	})
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
 	return h.tryInstances(x, w, r, c)
@@ -253,7 +252,7 @@
 	if l.Empty() {
 		return false
 	}
-	c.refusedFor = l.RefusedFor(upstream.Request{Origin: h.Origin, Body: c.body}.Fingerprint(r), now)
+	c.refusedFor = l.RefusedFor(upstream.Request{Origin: c.view.Origin, Body: c.body}.Fingerprint(r), now)
 	return c.refusedFor > 0
 }
 
@@ -423,7 +422,7 @@
 	if k.Local {
 		y, stop := context.WithDeadline(x, c.deadline)
 		defer stop()
-		f := h.Worker.Serve(y, w, r, now, upstream.Request{AdmissionRequest: c.admission, Service: c.service.Name, Origin: h.Origin, Body: c.body, Set: c.workerHeaders, Now: h.Now, Crashes: c.crashes, CancelIfLeft: func() { cancelIfLeft(r) }})
+		f := h.Worker.Serve(y, w, r, now, upstream.Request{AdmissionRequest: c.admission, Service: c.service.Name, Origin: c.view.Origin, Body: c.body, Set: c.workerHeaders, Now: h.Now, Crashes: c.crashes, CancelIfLeft: func() { cancelIfLeft(r) }})
 		now = h.Now()
 		k.Peer.End(h.Worker.Load(now, c.admission.Kind).String(), c.admission.Kind, now)
 		c.countCrash(f)
--- a/caller/view.go
+++ b/caller/view.go
@@ -18,6 +18,7 @@
 	Candidates map[string]link.Candidates // by service
 	Retries    contract.RetryLimits       // limits for services that set none
 	Suspects   poison.List                // requests that are suspected of crashing workers
+	Origin     string                     // service of the worker beside this daemon
 	release    string                     // number of the version and hash of its content
 	version    string                     // number of the version
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -43,7 +43,8 @@
 	announcement upstream.Announcement
 	announcedAt  time.Time
 	history      upstream.History
-	draining     bool // whether the drain shows in this instance's record; set after Daemon.draining
+	origin       string // service of the worker by the settings or a start of it, whichever changed last; empty if the settings name none
+	draining     bool   // whether the drain shows in this instance's record; set after Daemon.draining
 	hasLeft      bool
 
 	known change.Known
@@ -113,6 +114,7 @@
 			LinkAddress: s.LinkAddress,
 			State:       instance.Starting,
 		}, n),
+		origin:            s.Service,
 		links:             make(map[string]*link.Peer),
 		contents:          make(map[string]*content),
 		loggedFaults:      make(map[string]bool),
@@ -310,6 +312,9 @@
 	if a.State == instance.Ready.String() && c.hasLeavingWorker(a) {
 		a.State = instance.Draining.String()
 	}
+	if c.origin != "" && a.State == instance.Ready.String() && (a.IsOtherStart(o) || a.Service != o.Service) {
+		c.setOrigin(a.Service)
+	}
 	c.announcement = a
 	c.announcedAt = now
 	if a.ID != o.ID || a.State != o.State || a.Service != o.Service || a.Address != o.Address || a.Slots != o.Slots {
@@ -318,6 +323,12 @@
 	}
 }
 
+// setOrigin sets the service that requests name as the one where they began.
+func (c *control) setOrigin(service string) {
+	c.origin = service
+	c.viewOutdated = true
+}
+
 // updateSelf updates this instance's record. The instance is ready only if its
 // worker is ready, the served configuration has the worker's service, and the worker
 // was asked for what it states about itself: a daemon that restarts has lost what
@@ -391,6 +402,7 @@
 	}
 	v := caller.NewView(c.serving, m)
 	v.Suspects = c.suspects
+	v.Origin = c.origin
 	c.d.worker.SetSuspects(c.suspects)
 	v.Retries = contract.RetryLimits{Percent: cmp.Or(c.settings.RetryPercent, settings.RetryPercentDefault), RerunPercent: c.settings.RerunPercent, Burst: c.retryBurst()}
 	c.d.view.Store(v)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,7 +122,9 @@
 	d.worker.Cleared = d.reportCleared
 	d.worker.Noticed = d.signalNotice
 	d.peers = peer.NewClient(&d.meter, o.Dial)
-	d.view.Store(caller.NewView(nil, nil))
+	v := caller.NewView(nil, nil)
+	v.Origin = o.Settings.Service
+	d.view.Store(v)
 	m, err := metric.New(metric.Gauges{
 		Version:      func() int64 { return int64(d.View().Snapshot.Number()) },
 		ControlIn:    d.meter.In,
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -221,7 +221,6 @@
 		Now:              d.now,
 		Random:           d.randomPool(),
 		Headers:          e,
-		Origin:           d.settings.Service,
 		ForwardedWaitMax: contract.ForwardedWaitMax(time.Duration(d.settings.DrainLimit)),
 	}, d.recordCut)
 	calls.idleTimeout = d.callerIdleTimeout
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -192,6 +192,7 @@
 // WithReload returns s with those settings of n that take effect while a daemon
 // runs.
 func (s Settings) WithReload(n Settings) Settings {
+	s.Service = n.Service
 	s.Seeds = n.Seeds
 	s.WorkerLapse = n.WorkerLapse
 	s.RetryPercent = n.RetryPercent
