--- a/daemon/control.go
+++ b/daemon/control.go
@@ -264,7 +264,7 @@
 // announcement that a start is ready which this process has not heard of is applied once
 // the worker confirms it.
 func (c *control) applyAnnouncement(a upstream.Announcement, now time.Time) error {
-	if err := c.checkOrigin(a); err != nil {
+	if err := c.checkSource(a); err != nil {
 		c.logRefused(a, err)
 		return err
 	}
@@ -282,10 +282,10 @@
 	return nil
 }
 
-// checkOrigin returns an error of code BadAnnouncement if the announcement a cannot come
+// checkSource returns an error of code BadAnnouncement if the announcement a cannot come
 // from the worker beside this daemon: it names another address than the settings, or
 // another service than the settings and an earlier announcement of the same start.
-func (c *control) checkOrigin(a upstream.Announcement) error {
+func (c *control) checkSource(a upstream.Announcement) error {
 	o := c.announcement
 	switch {
 	case a.State == instance.Left.String():
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -10,6 +10,7 @@
 	"figwheel/contract"
 	"figwheel/event"
 	"figwheel/instance"
+	"figwheel/result"
 	"figwheel/site"
 	"figwheel/upstream"
 )
@@ -222,13 +223,16 @@
 	c.workerBeingAsked = true
 	address := c.settings.WorkerAddress
 	c.start(func(x context.Context) {
+		var h upstream.Health
+		var err error = result.New(result.BadAnswer, "the health check panicked")
+		defer func() {
+			_ = c.d.do(x, func(c *control) { c.applyHealth(h, err == nil, c.d.now()) })
+		}()
 		y, stop := context.WithTimeout(x, askWorkerTimeout)
 		defer stop()
-		h, err := c.d.edge.AskWorker(y, address, s.HealthPath)
-		if err != nil {
+		if h, err = c.d.edge.AskWorker(y, address, s.HealthPath); err != nil {
 			c.d.event(x, event.WorkerSilent, slog.String("Address", address), slog.String("Cause", err.Error()))
 		}
-		_ = c.d.do(x, func(c *control) { c.applyHealth(h, err == nil, c.d.now()) })
 	})
 }
 
