--- a/daemon/control.go
+++ b/daemon/control.go
@@ -70,7 +70,7 @@
 	leavingWorker     *upstream.Announcement  // last one of a worker that has stated in an answer that it is leaving; nil if none has
 	workerAsked       bool                    // whether askWorker has ended or is not possible
 	workerBeingAsked  bool                    // whether a health check of the worker runs
-	nextAsk           time.Time               // earliest time of the next health check for an announcement that is held
+	nextAsk           time.Time               // earliest time of the next health check after one without an answer
 	confirmation      upstream.Confirmation   // of the worker's announcements since the start
 	loggedFaults      map[string]bool         // texts of the configuration faults that were logged
 	platformReachable bool                    // whether the last call of the platform was answered
