--- a/caller/handler.go
+++ b/caller/handler.go
@@ -69,12 +69,22 @@
 	RecordDecision(d Decision)
 }
 
+// Quota limits the requests that the callers of each client account may send.
+type Quota interface {
+	// Admit counts a request of the account at now and reports whether it is within
+	// the quota. If it is not, the caller should return after retryAfter.
+	Admit(account string, now time.Time) (retryAfter time.Duration, ok bool)
+	// Refund takes back the count of a request that Admit admitted and that was not run.
+	Refund(account string, now time.Time)
+}
+
 // Handler serves the calls of callers.
 type Handler struct {
 	Daemon    Daemon
 	Worker    *upstream.Worker
 	Transport http.RoundTripper // to other daemons
 	Record    Recorder          // may be nil
+	Quota     Quota             // of client accounts; nil for none
 	Now       func() time.Time
 	Random    *sync.Pool       // of *rand.Rand
 	Headers   contract.Headers // names of the headers that callers use
--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -18,6 +18,7 @@
 	byHost   map[string]routes
 	anyHost  routes
 	limits   Limits
+	accounts []Account
 }
 
 // routes are the routes of one host by path prefix. Those of one prefix are in the
@@ -95,6 +96,15 @@
 	return s.limits
 }
 
+// Accounts returns the client accounts, which must not be modified. It returns none for
+// a nil snapshot.
+func (s *Snapshot) Accounts() []Account {
+	if s == nil {
+		return nil
+	}
+	return s.accounts
+}
+
 // Site returns the name of the site.
 func (s *Snapshot) Site() string { return s.site }
 
--- a/site/table.go
+++ b/site/table.go
@@ -20,6 +20,7 @@
 	Services []Service
 	Routes   []Route
 	Limits   Limits
+	Accounts []Account `json:",omitempty"`
 }
 
 // Limits bound the requests and connections of callers. A limit of 0 is not set by
@@ -86,6 +87,6 @@
 		services[v.Name] = &v
 	}
 	s := newSnapshot(services, t.Routes)
-	s.number, s.site, s.content, s.limits = number, site, content, t.Limits
+	s.number, s.site, s.content, s.limits, s.accounts = number, site, content, t.Limits, t.Accounts
 	return s, nil
 }
