--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -49,6 +49,10 @@
 	DeadlineHeader = "Figwheel-Deadline-Ms"
 	DepthHeader    = "Figwheel-Depth"
 	ExchangeHeader = "Figwheel-Exchange"
+	// A caller names its client account by a key. The worker, and the daemon beside
+	// it, receive the name of the account.
+	AccountKeyHeader = "Figwheel-Account-Key"
+	AccountHeader    = "Figwheel-Account"
 	// A worker states these in its answers.
 	RateLimitHeader = "Figwheel-Rate-Limit"
 	LeavingHeader   = "Figwheel-Leaving"
@@ -68,8 +72,8 @@
 )
 
 // Status returns the HTTP status for a call that failed with the code c and the
-// outcome o. Status 503 guarantees that the request was not run and will not
-// be; a request that may have run gets 502 or 504, which guarantee nothing.
+// outcome o. Statuses 429 and 503 guarantee that the request was not run and will
+// not be; a request that may have run gets 502 or 504, which guarantee nothing.
 func Status(c result.Code, o Outcome) int {
 	switch c {
 	case result.NoRoute:
@@ -80,6 +84,10 @@
 		return http.StatusBadRequest
 	case result.RequestTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case result.UnknownAccount:
+		return http.StatusUnauthorized
+	case result.QuotaExceeded:
+		return http.StatusTooManyRequests
 	}
 	switch {
 	case o == NotRun:
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -111,6 +111,7 @@
 func (h Hop) doOnce(x context.Context, w http.ResponseWriter, r *http.Request, b *Body, s *connTrace) (_ Result, stale bool) {
 	d, stop := b.newAttempt()
 	defer stop()
+	d = filterTrailer(d, r.Trailer, h.Headers)
 	if n := h.Headers.RequestID; n != "" && !h.Daemon {
 		s.requestID = r.Header.Get(n)
 	}
@@ -387,8 +388,8 @@
 }
 
 // copyHeader copies the end-to-end headers. It leaves out the hop-by-hop headers,
-// also those named in the Connection header, and figwheel's own headers, except
-// those that names lets pass.
+// also those named in the Connection header, and those that names does not let pass:
+// figwheel's own, and a caller's key and claim of a client account.
 func copyHeader(to, from http.Header, names contract.Headers) {
 	var drop []string
 	for _, v := range from["Connection"] {
@@ -397,8 +398,7 @@
 		}
 	}
 	for k, v := range from {
-		reserved := strings.HasPrefix(k, contract.HeaderPrefix) && !names.IsForwarded(k)
-		if reserved || isHopByHop(k) || slices.Contains(drop, k) {
+		if !names.IsForwarded(k) || isHopByHop(k) || slices.Contains(drop, k) {
 			continue
 		}
 		to[k] = v
--- a/result/code.go
+++ b/result/code.go
@@ -26,6 +26,7 @@
 	NoCommonBreak
 	ContentTooLarge
 	FileUnreadable
+	SharedKey
 )
 
 // Codes of changes.
@@ -64,6 +65,8 @@
 	WrongAnswer
 	RequestTooLarge
 	CrashesWorkers
+	UnknownAccount
+	QuotaExceeded
 )
 
 // Codes of the platform's object API.
@@ -121,6 +124,7 @@
 	{NoCommonBreak, "NoCommonBreak", "The breaks of the sites have no moment in common within 15 days."},
 	{ContentTooLarge, "ContentTooLarge", "The base file and overlays together exceed the limit."},
 	{FileUnreadable, "FileUnreadable", "A file cannot be read."},
+	{SharedKey, "SharedKey", "Two client accounts have the same key."},
 
 	{OutsideBreak, "OutsideBreak", "The submission came outside a break; the answer names the next one."},
 	{Conflict, "Conflict", "Another change was proposed or accepted first; the answer names it."},
@@ -154,6 +158,8 @@
 	{WrongAnswer, "WrongAnswer", "What the worker sent is not its answer to the request, which may have run."},
 	{RequestTooLarge, "RequestTooLarge", "The body exceeds the limit of the configuration; the request was not run."},
 	{CrashesWorkers, "CrashesWorkers", "Workers crashed one after the other when the same request was sent to them; it was not run."},
+	{UnknownAccount, "UnknownAccount", "The request has no key, or none of a client account of this version; it was not run."},
+	{QuotaExceeded, "QuotaExceeded", "The client account has used up its quota; the request was not run."},
 
 	{PlatformUnavailable, "PlatformUnavailable", "The platform did not take the request; nothing was written."},
 	{VersionConflict, "VersionConflict", "The object has another version than the condition names."},
