site, platform: decode client accounts

A configuration may contain tenants with keys and limits, and routes that need no key. They were ignored.

platform decodes them one by one, as it does routes and services, and keeps only the hashes of the keys: the table that daemons send to each other, memory and logs have none. site.Table.CloseFaulty removes the keys that name no single account, at every daemon alike: those of an account whose name cannot be sent in a header or is taken, and those of two accounts. Each such fault is logged as FE407, like those of routes. An account whose keys are all gone stays, since a table without any account would need no key. An account of which only a part can be decoded keeps that part: a limit that cannot be read counts as none, as otherwise the typing error of an operator would end all calls of a customer.

--- a/site/route.go
+++ b/site/route.go
@@ -193,6 +193,7 @@
 	Goal        time.Duration // latency target of a request, 0 is none
 	Attempts    int           // maximum number of workers that one request is sent to, 0 is the default of package caller
 	Rank        int           // priority in admission, 0 is the most important
+	Public      bool          `json:",omitempty"` // whether its requests need no key of a client account
 	Closed      result.Code   `json:",omitempty"` // reason for which its requests are rejected, 0 if they are not
 	totalWeight int
 }
--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -19,6 +19,7 @@
 	anyHost  routes
 	limits   Limits
 	accounts []Account
+	byKey    map[KeyHash]*Account
 }
 
 // routes are the routes of one host by path prefix. Those of one prefix are in the
@@ -105,6 +106,31 @@
 	return s.accounts
 }
 
+// HasAccounts reports whether requests need the key of a client account, except those
+// of public routes.
+func (s *Snapshot) HasAccounts() bool { return len(s.Accounts()) > 0 }
+
+// AccountOf returns the client account that holds the key, and false if none does. Its
+// time does not depend on the number of keys, nor on how much of a key is guessed: keys
+// are compared by their hashes.
+func (s *Snapshot) AccountOf(key string) (*Account, bool) {
+	if s == nil || key == "" || len(s.byKey) == 0 {
+		return nil, false
+	}
+	a, ok := s.byKey[HashKey(key)]
+	return a, ok
+}
+
+// setAccounts sets the client accounts l, whose keys belong to one account each.
+func (s *Snapshot) setAccounts(l []Account) {
+	s.accounts, s.byKey = l, make(map[KeyHash]*Account, len(l))
+	for i := range l {
+		for _, k := range l[i].Keys {
+			s.byKey[k] = &l[i]
+		}
+	}
+}
+
 // Site returns the name of the site.
 func (s *Snapshot) Site() string { return s.site }
 
--- a/site/table.go
+++ b/site/table.go
@@ -53,7 +53,7 @@
 }
 
 // CloseFaulty returns the table with every route closed that cannot be compiled,
-// and the reasons. A closed route still matches, and its requests are rejected. If
+// without the keys that name no single client account, and the reasons. A closed route still matches, and its requests are rejected. If
 // it were left out, they could match a shorter prefix and reach a service that the
 // configuration does not intend for them.
 func (t Table) CloseFaulty() (Table, []error) {
@@ -73,7 +73,9 @@
 		}
 	}
 	t.Routes = routes
-	return t, faults
+	var f []error
+	t.Accounts, f = closeFaulty(t.Accounts)
+	return t, append(faults, f...)
 }
 
 // Sites returns nil, because a table is the same at every site.
@@ -87,6 +89,7 @@
 		services[v.Name] = &v
 	}
 	s := newSnapshot(services, t.Routes)
-	s.number, s.site, s.content, s.limits, s.accounts = number, site, content, t.Limits, t.Accounts
+	s.number, s.site, s.content, s.limits = number, site, content, t.Limits
+	s.setAccounts(t.Accounts)
 	return s, nil
 }
