caller: serve requests by the client accounts of their keys

Keys and the claims of client accounts went to workers as callers sent them, and nobody answered 401.

Once a request has its route, and if the version in force has accounts, its one key header names its account. Without a known key it is answered 401 (FW3020, not run, no Retry-After, connection kept), unless the route is public; a daemon without a configuration answers 503 as before, since it knows no keys. The worker receives the name of the account in the header of its interface, from this daemon or, over the link header Figwheel-Account, from the daemon beside it. A link believes that header because no daemon forwards what a caller sent in it. The account's rank goes before that of the route, see contract.AccountRank. Requests of an account without a rank, or without an account, count as of rank 0, which leaves the decision to the route: calls of workers have no key and should not fall behind for that.

Where Handler.Quota is set, a request of an account with a rate is counted once, before its body is read and before any hop: 429 with the time that the quota gives (FW3021). A request that ends as not run is given back.

Weighed: checking the key again at the daemon beside the worker. It would cost a second hash of each request and a second list of reasons to reject, and the sender, which has the same bound for its configuration, has already checked. A view is replaced as a whole, so a key that a version takes away is refused from its activation on, also on open connections.

Tests: each kind of key on both ways to a worker, a key taken away on a kept connection, and the calls of a fake quota. Versions without accounts are served as before, except that the two headers no longer reach a worker.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -26,7 +26,7 @@
 	h.Set(contract.CodeHeader, f.Code.String())
 	h.Set("Content-Type", "application/json")
 	s := contract.Status(f.Code, f.Outcome)
-	if retryAfter > 0 && s == http.StatusServiceUnavailable {
+	if retryAfter > 0 && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests) {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	d, _ := json.Marshal(Failure{f.Code.String(), f.Code.Name(), f.Outcome.String(), f.Text})
--- a/caller/decision.go
+++ b/caller/decision.go
@@ -17,6 +17,7 @@
 	RequestID string
 	Route     string
 	Service   string
+	Account   string   // name of the client account, empty for none
 	Version   string   // number of the configuration version that was used
 	Asked     []string // instances that the request was offered to; if all were full, only those that it was then offered to again
 	Sent      int      // attempts that may have reached a worker and after which a retry was considered
@@ -40,6 +41,7 @@
 	now := h.Now()
 	d := Decision{
 		RequestID: r.Header.Get(h.Headers.RequestID),
+		Account:   c.accountName(),
 		Version:   c.view.Version(),
 		Limit:     r.Header.Get(h.Headers.Deadline),
 		Asked:     c.tried,
@@ -71,6 +73,10 @@
 		return 0
 	case f.Code == result.CrashesWorkers:
 		return cmp.Or(c.refusedFor, poison.RefuseTime)
+	case f.Code == result.QuotaExceeded:
+		return c.quotaWait
+	case f.Code == result.UnknownAccount:
+		return 0 // a retry with the same key is rejected too
 	case f.Code == result.Overloaded:
 		return retryAfterOverload(c.route.Goal, c.view.Candidates[c.service.Name].KindServiceTime(c.admission.Kind, h.Now()), c.random)
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -69,15 +69,6 @@
 	RecordDecision(d Decision)
 }
 
-// Quota limits the requests that the callers of each client account may send.
-type Quota interface {
-	// Admit counts a request of the account at now and reports whether it is within
-	// the quota. If it is not, the caller should return after retryAfter.
-	Admit(account string, now time.Time) (retryAfter time.Duration, ok bool)
-	// Refund takes back the count of a request that Admit admitted and that was not run.
-	Refund(account string, now time.Time)
-}
-
 // Handler serves the calls of callers.
 type Handler struct {
 	Daemon    Daemon
@@ -100,6 +91,7 @@
 	view           *View
 	route          *site.Route
 	service        *site.Service
+	account        *site.Account // nil for none
 	body           *hop.Body
 	admission      upstream.AdmissionRequest
 	deadline       time.Time
@@ -113,6 +105,8 @@
 	mayHaveRun     bool          // whether an attempt ended without proof that the request did not run
 	crashes        int           // workers that did not answer the request
 	refusedFor     time.Duration // remaining time for which the request is rejected because it crashes workers
+	isCounted      bool          // whether the request counts against the quota of its account
+	quotaWait      time.Duration // time after which the quota of its account may admit the request again
 }
 
 // ServeHTTP implements http.Handler. If the answer is begun and cannot be
@@ -147,7 +141,12 @@
 	if err := c.resolve(r); err != nil {
 		return hop.NotRun(result.CodeOf(err), err.Error())
 	}
-	return h.serve(w, r, c, now)
+	if err := c.identify(r.Header.Values(h.Headers.Key)); err != nil {
+		return hop.NotRun(result.CodeOf(err), err.Error())
+	}
+	f := h.serve(w, r, c, now)
+	h.settleQuota(c, f)
+	return f
 }
 
 // resolve sets the route and the service of the request. The error has the code
@@ -190,8 +189,8 @@
 }
 
 // serve makes the attempts of one call within its deadline. It rejects the call
-// if its headers are invalid, its body does not arrive in time or it is
-// suspected of crashing workers.
+// if its headers are invalid, the quota of its account is used up, its body does not
+// arrive in time or it is suspected of crashing workers.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c *call, now time.Time) hop.Result {
 	d, err := contract.Deadline(now, c.timeLimit(), r.Header.Get(h.Headers.Deadline))
 	if err != nil {
@@ -201,6 +200,9 @@
 	if err != nil {
 		return hop.NotRun(result.TooDeep, err.Error())
 	}
+	if f := h.takeQuota(c, now); !f.OK() {
+		return f
+	}
 	x, stop := context.WithDeadline(r.Context(), d.Add(outcomeGraceTime))
 	defer stop()
 	c.body = hop.NewBody(w, r)
@@ -214,7 +216,7 @@
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
 	c.deadline = d
-	c.admission = upstream.AdmissionRequest{Kind: c.route.Name, Rank: c.route.Rank, Deadline: d, Arrived: now}
+	c.admission = upstream.AdmissionRequest{Kind: c.route.Name, Rank: c.rank(), Deadline: d, Arrived: now}
 	if c.route.Goal > 0 {
 		c.admission.Goal = now.Add(c.route.Goal)
 	}
@@ -233,6 +235,7 @@
 		{Name: contract.KindHeader, Value: c.admission.Kind},
 		{Name: contract.OriginHeader, Value: c.view.Origin},
 	})
+	c.setAccount(h.Headers)
 	w.Header().Set(contract.OutcomeHeader, contract.Run.String())
 	return h.tryInstances(x, w, r, c)
 }
--- a/caller/link.go
+++ b/caller/link.go
@@ -142,5 +142,6 @@
 			{Name: contract.VersionHeader, Value: r.Header.Get(contract.VersionHeader)},
 		}
 	}
+	q.Set = forwardedAccount(q.Set, h.Headers, r)
 	return h.Worker.Serve(x, w, r, now, q)
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -269,7 +269,7 @@
 	} else if !r.d.callLogLimiter.AllowN(r.d.now(), 1) {
 		return
 	}
-	r.d.event(context.Background(), i,
+	l := []slog.Attr{
 		slog.String("RequestID", v.RequestID),
 		slog.String("Route", v.Route),
 		slog.String("Service", v.Service),
@@ -286,7 +286,11 @@
 		slog.Duration("Took", v.Took),
 		slog.String("LimitMs", v.Limit),
 		slog.Duration("Left", v.Left),
-	)
+	}
+	if v.Account != "" {
+		l = append(l, slog.String("Account", v.Account))
+	}
+	r.d.event(context.Background(), i, l...)
 }
 
 // randomPool returns a pool of sources of random numbers, so that each call uses
