site: client accounts in the base file and overlays

Client accounts existed only in the platform's configuration. Figwheel's own files have them now: Accounts by name with KeyHashes, Rank, Rate and Burst, and Public on routes, merged and removed like services and routes.

Files hold hashes of keys, so that neither the stored releases nor a supervisor's checkout give a key away; the command key-hash makes one from standard input, since other users of a machine see arguments. Shown values have eight digits of a hash. What stands where a hash belongs may be a key, so that error does not quote it.

Checked are a key of two accounts (FW1016), at the site where it occurs, since an overlay may replace one of them; a list entry that is no hash or that of an empty key, numbers out of range, a Burst without a Rate and an account without KeyHashes. Weighed: keys in the files, hashed at submission; they would pass through three machines on the way.

--- a/cmd/figwheel/main.go
+++ b/cmd/figwheel/main.go
@@ -63,6 +63,7 @@
 		statusCommand(a),
 		watchCommand(a),
 		auditCommand(a),
+		keyHashCommand(a, os.Stdin),
 		demoCommand(a),
 		standinPlatformCommand(a),
 		standinWorkerCommand(a),
--- a/site/account.go
+++ b/site/account.go
@@ -7,6 +7,8 @@
 	"strings"
 	"unicode"
 
+	"go.yaml.in/yaml/v3"
+
 	"figwheel/result"
 )
 
@@ -22,6 +24,12 @@
 // KeyHash is the SHA-256 hash of a client account's key. The key itself is kept nowhere.
 type KeyHash [sha256.Size]byte
 
+// keyHashDigits is the number of digits by which a hash is shown.
+const keyHashDigits = 8
+
+// String returns the first digits of the hash, which tell the keys of an account apart.
+func (k KeyHash) String() string { return hex.EncodeToString(k[:])[:keyHashDigits] }
+
 // accountNameBytesMax bounds the name of a client account, which workers receive in a
 // header.
 const accountNameBytesMax = 256
@@ -103,3 +111,111 @@
 	}
 	return nil
 }
+
+// Bounds of the fields of a client account.
+const (
+	accountRankMax  = 1000
+	accountRateMax  = 1_000_000
+	accountBurstMax = 1_000_000
+)
+
+// account is a client account as one file defines it, or as merged from base and
+// overlay.
+type account struct {
+	at    Position
+	keys  Value[[]KeyHash]
+	rank  Value[int]
+	rate  Value[float64]
+	burst Value[float64]
+}
+
+// account decodes the client account with key k and value n.
+func (d *decoder) account(k, n *yaml.Node) account {
+	a := account{at: d.at(k)}
+	d.fields(n,
+		field{"KeyHashes", func(k, v *yaml.Node) {
+			a.keys = Value[[]KeyHash]{d.keyHashes(v), d.at(k)}
+		}},
+		d.number("Rank", 0, accountRankMax, &a.rank),
+		d.decimal("Rate", 0, accountRateMax, &a.rate),
+		d.decimal("Burst", 0, accountBurstMax, &a.burst),
+	)
+	return a
+}
+
+// keyHashes decodes a list of hashes. It reports invalid ones and leaves them out.
+func (d *decoder) keyHashes(n *yaml.Node) []KeyHash {
+	r := make([]KeyHash, 0, len(n.Content))
+	d.items(n, func(v *yaml.Node) {
+		s, ok := d.scalar(v)
+		if !ok {
+			return
+		}
+		var k KeyHash
+		switch {
+		case k.UnmarshalText([]byte(s)) != nil: // the text may be a key, which must not be shown
+			d.fail(v, result.BadValue, "a key hash has %d hexadecimal digits, see figwheel key-hash", hex.EncodedLen(len(k)))
+		case k == HashKey(""):
+			d.fail(v, result.BadValue, "this is the hash of an empty key")
+		default:
+			r = append(r, k)
+		}
+	})
+	return r
+}
+
+// mergedOver returns a with its position and its unset values taken from b.
+func (a account) mergedOver(b account) account {
+	return account{
+		at:    b.at,
+		keys:  a.keys.Or(b.keys),
+		rank:  a.rank.Or(b.rank),
+		rate:  a.rate.Or(b.rate),
+		burst: a.burst.Or(b.burst),
+	}
+}
+
+// check reports values that the merged account needs and does not set.
+func (a account) check(name, site string, c *checker) {
+	if !a.keys.IsSet() {
+		c.fail(a.at, result.Missing, "account %s has no KeyHashes at site %s", name, site)
+	}
+	if a.burst.V > 0 && a.rate.V == 0 {
+		c.fail(a.burst.At, result.Missing, "account %s has a Burst and no Rate at site %s", name, site)
+	}
+}
+
+// checkAccounts reports the faults of the site's client accounts, among them keys that
+// belong to several.
+func (m merged) checkAccounts(c *checker) {
+	owners := make(map[KeyHash]string)
+	for _, n := range sorted(m.accounts) {
+		a := m.accounts[n]
+		a.check(n, m.site, c)
+		for _, k := range a.keys.V {
+			if o, ok := owners[k]; ok && o != n {
+				c.fail(a.keys.At, result.SharedKey, "accounts %s and %s have the same key %s at site %s", o, n, k, m.site)
+			}
+			owners[k] = n
+		}
+	}
+}
+
+// compile returns the compiled account.
+func (a account) compile(name string) Account {
+	r := Account{Name: name, Keys: a.keys.V, Rate: a.rate.V, Burst: a.burst.V}
+	if a.rank.IsSet() {
+		r.Rank = &a.rank.V
+	}
+	return r
+}
+
+// lines returns the values of the account that are set, one line for each.
+func (a account) lines(name string) []Line {
+	l := lineList{prefix: "Accounts." + name + "."}
+	addLine(&l, "KeyHashes", a.keys)
+	addLine(&l, "Rank", a.rank)
+	addLine(&l, "Rate", a.rate)
+	addLine(&l, "Burst", a.burst)
+	return l.lines
+}
--- a/site/check.go
+++ b/site/check.go
@@ -86,8 +86,8 @@
 	return r
 }
 
-// check reports the problems of the site's services and routes, among them routes
-// that conflict with each other.
+// check reports the problems of the site's services, routes and client accounts,
+// among them routes that conflict with each other.
 func (m merged) check(c *checker) {
 	for _, n := range sorted(m.services) {
 		m.services[n].check(n, m.site, c)
@@ -106,6 +106,7 @@
 		}
 		byKey[p] = append(byKey[p], t)
 	}
+	m.checkAccounts(c)
 }
 
 // checkBreaks reports breaks of the sites that have no moment in common: a change
@@ -167,6 +168,9 @@
 	for _, n := range sorted(m.routes) {
 		r = append(r, m.routes[n].lines(n)...)
 	}
+	for _, n := range sorted(m.accounts) {
+		r = append(r, m.accounts[n].lines(n)...)
+	}
 	return r
 }
 
--- a/site/decode.go
+++ b/site/decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -168,6 +169,41 @@
 	}}
 }
 
+// decimal returns the field name, whose number from low to high it decodes into t.
+func (d *decoder) decimal(name string, low, high float64, t *Value[float64]) field {
+	return field{name, func(_, v *yaml.Node) {
+		s, ok := d.scalar(v)
+		if !ok {
+			return
+		}
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || math.IsNaN(f) {
+			d.fail(v, result.BadValue, "%s takes a number, not %q", name, s)
+			return
+		}
+		if f < low || f > high {
+			d.fail(v, result.OutOfRange, "%s is %g; it takes %.0f to %.0f", name, f, low, high)
+			return
+		}
+		*t = Value[float64]{f, d.at(v)}
+	}}
+}
+
+// boolean returns the field name, whose true or false it decodes into t.
+func (d *decoder) boolean(name string, t *Value[bool]) field {
+	return field{name, func(_, v *yaml.Node) {
+		s, ok := d.scalar(v)
+		if !ok {
+			return
+		}
+		if s != "true" && s != "false" {
+			d.fail(v, result.BadValue, "%s takes true or false, not %q", name, s)
+			return
+		}
+		*t = Value[bool]{s == "true", d.at(v)}
+	}}
+}
+
 // duration returns the field name, whose duration from low to high it decodes into
 // t.
 func (d *decoder) duration(name string, low, high time.Duration, t *Value[time.Duration]) field {
--- a/site/merge.go
+++ b/site/merge.go
@@ -17,13 +17,16 @@
 	breaks       Value[Breaks]
 	services     map[string]service
 	routes       map[string]route
+	accounts     map[string]account
 	removed      removal
 }
 
-// removal names the services and routes of the base that an overlay removes.
+// removal names the services, routes and client accounts of the base that an overlay
+// removes.
 type removal struct {
 	services Value[[]string]
 	routes   Value[[]string]
+	accounts Value[[]string]
 }
 
 // namedEntries calls f for each key and value of the mapping n whose key is a
@@ -43,6 +46,7 @@
 func (d *decoder) commonFields(l *layer) []field {
 	l.services = make(map[string]service)
 	l.routes = make(map[string]route)
+	l.accounts = make(map[string]account)
 	return []field{
 		{"Breaks", func(k, v *yaml.Node) { l.breaks = Value[Breaks]{d.breaks(v), d.at(k)} }},
 		{"Services", func(_, v *yaml.Node) {
@@ -51,6 +55,9 @@
 		{"Routes", func(_, v *yaml.Node) {
 			d.namedEntries(v, func(k, v *yaml.Node) { l.routes[k.Value] = d.route(k, v) })
 		}},
+		{"Accounts", func(_, v *yaml.Node) {
+			d.namedEntries(v, func(k, v *yaml.Node) { l.accounts[k.Value] = d.account(k, v) })
+		}},
 	}
 }
 
@@ -91,7 +98,7 @@
 	}
 	fs = append([]field{d.text("Site", &l.site)}, fs...)
 	fs = append(fs, field{"Remove", func(_, v *yaml.Node) {
-		d.fields(v, d.list("Services", &l.removed.services), d.list("Routes", &l.removed.routes))
+		d.fields(v, d.list("Services", &l.removed.services), d.list("Routes", &l.removed.routes), d.list("Accounts", &l.removed.accounts))
 	}})
 	d.fields(n, fs...)
 	if !l.site.IsSet() {
@@ -122,11 +129,12 @@
 	breaks   Value[Breaks]
 	services map[string]service
 	routes   map[string]route
+	accounts map[string]account
 }
 
 // merge returns the configuration of the site name: base b with overlay o. Each
 // value that o sets replaces that of b; lists and the breaks are replaced as a
-// whole. Services and routes that o removes are left out. The arguments are not
+// whole. Services, routes and client accounts that o removes are left out. The arguments are not
 // modified.
 func merge(name string, b, o layer, c *checker) merged {
 	m := merged{
@@ -134,9 +142,11 @@
 		breaks:   o.breaks.Or(b.breaks),
 		services: maps.Clone(b.services),
 		routes:   maps.Clone(b.routes),
+		accounts: maps.Clone(b.accounts),
 	}
 	remove(m.services, o.removed.services, "service", c)
 	remove(m.routes, o.removed.routes, "route", c)
+	remove(m.accounts, o.removed.accounts, "account", c)
 	for n, s := range o.services {
 		p, ok := m.services[n]
 		if !ok {
@@ -151,6 +161,13 @@
 		}
 		m.routes[n] = r.mergedOver(p)
 	}
+	for n, a := range o.accounts {
+		p, ok := m.accounts[n]
+		if !ok {
+			p.at = a.at
+		}
+		m.accounts[n] = a.mergedOver(p)
+	}
 	return m
 }
 
--- a/site/route.go
+++ b/site/route.go
@@ -37,6 +37,7 @@
 	headers    Value[[]Header]
 	service    Value[string]
 	split      Value[[]Split]
+	public     Value[bool]
 }
 
 // route decodes the route with key k and value n.
@@ -53,6 +54,7 @@
 		field{"Split", func(k, v *yaml.Node) {
 			r.split = Value[[]Split]{d.split(v), d.at(k)}
 		}},
+		d.boolean("Public", &r.public),
 	)
 	d.methods(k, r.methods)
 	if r.service.IsSet() && r.split.IsSet() {
@@ -104,6 +106,7 @@
 		headers:    r.headers.Or(b.headers),
 		service:    r.service,
 		split:      r.split,
+		public:     r.public.Or(b.public),
 	}
 	if !r.service.IsSet() && !r.split.IsSet() {
 		m.service = b.service
@@ -151,6 +154,7 @@
 		Methods:    r.methods.V,
 		Headers:    r.headers.V,
 		Targets:    r.targets(),
+		Public:     r.public.V,
 	}
 	if t.PathPrefix == "" {
 		t.PathPrefix = "/"
@@ -176,6 +180,7 @@
 	addLine(&l, "Headers", r.headers)
 	addLine(&l, "Service", r.service)
 	addLine(&l, "Split", r.split)
+	addLine(&l, "Public", r.public)
 	return l.lines
 }
 
--- a/site/snapshot.go
+++ b/site/snapshot.go
@@ -46,6 +46,11 @@
 	}
 	s := newSnapshot(services, routes)
 	s.number, s.site, s.content = number, site, content
+	accounts := make([]Account, 0, len(m.accounts))
+	for _, n := range sorted(m.accounts) {
+		accounts = append(accounts, m.accounts[n].compile(n))
+	}
+	s.setAccounts(accounts)
 	return s, nil
 }
 
