metric, daemon: count and log requests by client account

An operator could not see whose requests are rejected. A daemon tells the first 100 accounts apart and counts the rest as "other": a deployment may have ten thousand, and each would be a time series of each daemon. Requests without a known key are in figwheel.calls under FW3020 and have no account.

--- a/daemon/crash_test.go
+++ b/daemon/crash_test.go
@@ -38,7 +38,8 @@
 	platformLapse = settings.Duration(4500 * time.Millisecond) // three times the time between check-ins there
 )
 
-func newPlatformFleet(t *testing.T, n int) *platformFleet {
+// newPlatformFleet starts n daemons with their workers, after prepare has changed the fleet.
+func newPlatformFleet(t *testing.T, n int, prepare ...func(f *fleet)) *platformFleet {
 	t.Helper()
 	e := &Edge{
 		Headers:      platform.Headers(),
@@ -50,6 +51,9 @@
 		DecodeConfig: platform.DecodeConfig,
 	}
 	f := &platformFleet{fleet: &fleet{t: t, store: newStore(), edge: e}, runs: &platformtest.Runs{}}
+	for _, p := range prepare {
+		p(f.fleet)
+	}
 	b, err := platformtest.Config(1, "h.example", platformtest.Route{PathPrefix: "/", Service: "s"})
 	if err == nil {
 		_, err = f.store.Put(context.Background(), platform.ConfigKey, "", b)
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -34,7 +34,8 @@
 	wrap    func(name string) store.Store
 	daemons []*Daemon
 
-	edge        *Edge // nil is figwheel's own
+	edge        *Edge        // nil is figwheel's own
+	log         *slog.Logger // nil discards
 	stageLimit  settings.Duration
 	drainLimit  settings.Duration // 0 is 2 s
 	now         func() time.Time  // nil is time.Now
@@ -122,7 +123,7 @@
 	if f.wrap != nil {
 		p = f.wrap(s.Instance)
 	}
-	l := slog.New(slog.DiscardHandler)
+	l := cmp.Or(f.log, slog.New(slog.DiscardHandler))
 	if os.Getenv("FIGWHEEL_TEST_LOG") != "" {
 		l = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -260,9 +260,12 @@
 	r.d.metrics.RecordCall(service, c, o, took)
 }
 
-// RecordDecision implements caller.Recorder. It logs all failed calls, and
+// RecordDecision implements caller.Recorder. It counts the calls of client accounts, and logs all failed calls, and
 // answered calls up to the limit of lines a second.
 func (r recorder) RecordDecision(v caller.Decision) {
+	if v.Account != "" {
+		r.d.metrics.RecordAccount(v.Account, v.Code != result.QuotaExceeded)
+	}
 	i := event.Answered
 	if v.Code != 0 {
 		i = event.Failed
--- a/event/event.go
+++ b/event/event.go
@@ -131,7 +131,7 @@
 	{WatchEnded, "WatchEnded", slog.LevelDebug, "The watch of the platform ended."},
 	{AuditFailed, "AuditFailed", slog.LevelWarn, "An audit record could not be written."},
 	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; the daemon keeps serving the configuration in force."},
-	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route or service of the platform's configuration is invalid; the others are served."},
+	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route, service or client account of the platform's configuration is invalid; the others are served."},
 	{ObjectUnreadable, "ObjectUnreadable", slog.LevelWarn, "An object of the daemons on the platform cannot be read, as one of another writer; it is ignored. Logged once for each of its versions."},
 	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -42,6 +42,7 @@
 	duration otel.Float64Histogram
 	changes  otel.Int64Counter
 	options  sync.Map // of otel.MeasurementOption, by callKey
+	accounts accountCounter
 }
 
 // callKey is the key of the cached attributes of a call.
@@ -76,6 +77,8 @@
 	e.Add(err)
 	s.changes, err = m.Int64Counter("figwheel.changes", otel.WithDescription("changes that this daemon ended, by code"))
 	e.Add(err)
+	s.accounts.requests, err = m.Int64Counter("figwheel.account.requests", otel.WithDescription("requests by client account and whether its quota admitted them"))
+	e.Add(err)
 	e.Add(gauge(m, "figwheel.version", "", g.Version))
 	e.Add(gauge(m, "figwheel.inflight", "", g.InFlight))
 	e.Add(counter(m, "figwheel.control.received", "By", g.ControlIn))
@@ -136,6 +139,10 @@
 	s.duration.Record(context.Background(), took.Seconds(), p)
 }
 
+// RecordAccount records one request of a client account, and whether its quota admitted
+// it. It keeps apart the first accountNamesMax accounts; the others count together.
+func (s *Set) RecordAccount(account string, admitted bool) { s.accounts.record(account, admitted) }
+
 // RecordChange records one change that ended with the code c, 0 for an accepted one.
 func (s *Set) RecordChange(c result.Code) {
 	n := "accepted"
