--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -260,16 +260,19 @@
 	r.d.metrics.RecordCall(service, c, o, took)
 }
 
-// RecordDecision implements caller.Recorder. It logs all failed calls, and
+// RecordDecision implements caller.Recorder. It counts the calls of client accounts, and logs all failed calls, and
 // answered calls up to the limit of lines a second.
 func (r recorder) RecordDecision(v caller.Decision) {
+	if v.Account != "" {
+		r.d.metrics.RecordAccount(v.Account, v.Code != result.QuotaExceeded)
+	}
 	i := event.Answered
 	if v.Code != 0 {
 		i = event.Failed
 	} else if !r.d.callLogLimiter.AllowN(r.d.now(), 1) {
 		return
 	}
-	r.d.event(context.Background(), i,
+	l := []slog.Attr{
 		slog.String("RequestID", v.RequestID),
 		slog.String("Route", v.Route),
 		slog.String("Service", v.Service),
@@ -286,7 +289,11 @@
 		slog.Duration("Took", v.Took),
 		slog.String("LimitMs", v.Limit),
 		slog.Duration("Left", v.Left),
-	)
+	}
+	if v.Account != "" {
+		l = append(l, slog.String("Account", v.Account))
+	}
+	r.d.event(context.Background(), i, l...)
 }
 
 // randomPool returns a pool of sources of random numbers, so that each call uses
