--- a/daemon/control.go
+++ b/daemon/control.go
@@ -204,6 +204,9 @@
 			c.exchange(r.Name, r.PeerAddress, r.Incarnation)
 		}
 	}
+	if !c.hasPeers() {
+		c.updateQuotas(now) // the daemon may act alone after a time
+	}
 	c.advance()
 	c.forwardWatchedHead(now)
 	c.joinRosters(now)
@@ -381,6 +384,7 @@
 		return
 	}
 	c.viewOutdated = false
+	c.updateQuotas(c.d.now())
 	l := make(map[string][]link.Candidate)
 	s := c.table.Self()
 	for _, r := range c.table.All() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,6 +75,7 @@
 	stopped            chan struct{}                       // closed when the control goroutine takes no more requests
 	killed             chan struct{}                       // closed by tests to end the daemon without a drain
 	contents           singleflight.Group                  // shares concurrent fetches of one content, by its hash
+	quotas             *quotas
 	metrics            *metric.Set
 	randomSourceCount  atomic.Uint64
 
@@ -122,6 +123,7 @@
 	d.worker.Cleared = d.reportCleared
 	d.worker.Noticed = d.signalNotice
 	d.peers = peer.NewClient(&d.meter, o.Dial)
+	d.quotas = newQuotas(o.Settings.Instance, o.Settings.Site, d.now())
 	v := caller.NewView(nil, nil)
 	v.Origin = o.Settings.Service
 	d.view.Store(v)
@@ -134,6 +136,12 @@
 		Sent:         d.worker.Sent,
 		Cuts:         d.cuts.Load,
 		RateLimit:    d.worker.RateLimit,
+
+		QuotaShort:    func() int64 { return int64(d.quotas.node.Short()) },
+		QuotaIsolated: d.isQuotaIsolated,
+		QuotaRefused:  d.quotas.node.Refused,
+		QuotaMessages: d.quotas.sent.Load,
+		QuotaFailures: d.quotas.failed.Load,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -218,6 +218,7 @@
 		Worker:           &d.worker,
 		Transport:        t,
 		Record:           recorder{d},
+		Quota:            d.quotas.node,
 		Now:              d.now,
 		Random:           d.randomPool(),
 		Headers:          e,
@@ -230,6 +231,7 @@
 	}
 	p := http.NewServeMux()
 	p.Handle(peer.NewHandler(d))
+	p.Handle(peer.NewQuotaHandler(quotaService{d}))
 	o := http.NewServeMux()
 	o.Handle(operator.NewHandler(operators{d}))
 	o.Handle("/metrics", d.metrics.Handler())
@@ -307,6 +309,8 @@
 	s := d.serve()
 	expiryEnded := make(chan struct{})
 	go s.expireIdle(y, expiryEnded)
+	quotasEnded := make(chan struct{})
+	go d.runQuotas(y, quotasEnded)
 	d.event(y, event.Started, slog.String("Site", d.settings.Site), slog.String("CallAddress", d.settings.CallAddress), slog.String("OperatorAddress", d.settings.OperatorAddress))
 	select {
 	case <-x.Done():
@@ -316,6 +320,7 @@
 	stop()
 	<-done
 	<-expiryEnded
+	<-quotasEnded
 	for _, v := range slices.Concat(s.work, s.control) {
 		_ = v.Close()
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -78,6 +78,15 @@
 	Abandoned
 )
 
+// Events of quotas.
+const (
+	QuotaShort ID = 601 + iota
+	QuotaFree
+	QuotaIsolated
+	QuotaConnected
+	QuotaAggregator
+)
+
 // Entry is one row of the catalogue of events.
 type Entry struct {
 	ID      ID
@@ -137,6 +146,11 @@
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
 	{ConnectionCut, "ConnectionCut", slog.LevelWarn, "A caller's connection ended under a request that was read and not answered completely, and the caller had not left."},
 	{Abandoned, "Abandoned", slog.LevelInfo, "The daemon that forwarded a request to this one gave it up; Stage, InStage and Took are as in FE502. Bounded by the limit of log lines about calls."},
+	{QuotaShort, "QuotaShort", slog.LevelInfo, "The callers of a client account send more than its quota has room for; each daemon admits a share of the requests. Demand is in requests per second at all daemons, Level the tokens of the quota. Logged by the aggregators."},
+	{QuotaFree, "QuotaFree", slog.LevelInfo, "The quota of a client account has room for all its requests again."},
+	{QuotaIsolated, "QuotaIsolated", slog.LevelWarn, "No aggregator answers this daemon; it admits its own part of each quota, one in Known."},
+	{QuotaConnected, "QuotaConnected", slog.LevelInfo, "An aggregator answers this daemon again; it admits by the shares of the fleet."},
+	{QuotaAggregator, "QuotaAggregator", slog.LevelInfo, "This daemon reports the counts of its client accounts to another aggregator."},
 }
 
 // Catalogue returns every event in ascending order.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -31,6 +31,12 @@
 	Sent         func() int64 // requests sent to the worker since the start
 	Cuts         func() int64 // connections of callers that ended under a request since the start
 
+	QuotaShort    func() int64 // client accounts whose callers send more than the quota has room for
+	QuotaIsolated func() int64 // 1 if this daemon admits by its own part of the quotas, else 0
+	QuotaRefused  func() int64 // requests that were over a quota since the start
+	QuotaMessages func() int64 // messages about quotas to other daemons since the start
+	QuotaFailures func() int64 // those of them that were not answered
+
 	RateLimit func() float64 // requests per second that the worker takes, 0 if it states no limit
 }
 
@@ -83,6 +89,11 @@
 	e.Add(counter(m, "figwheel.platform.calls", "", g.PlatformCall))
 	e.Add(counter(m, "figwheel.worker.sent", "", g.Sent))
 	e.Add(counter(m, "figwheel.connections.cut", "", g.Cuts))
+	e.Add(gauge(m, "figwheel.quota.short", "", g.QuotaShort))
+	e.Add(gauge(m, "figwheel.quota.isolated", "", g.QuotaIsolated))
+	e.Add(counter(m, "figwheel.quota.refused", "", g.QuotaRefused))
+	e.Add(counter(m, "figwheel.quota.messages", "", g.QuotaMessages))
+	e.Add(counter(m, "figwheel.quota.failures", "", g.QuotaFailures))
 	_, err = m.Float64ObservableGauge("figwheel.worker.rate_limit", otel.WithDescription("requests per second that the worker takes, 0 without a limit"),
 		otel.WithFloat64Callback(func(_ context.Context, o otel.Float64Observer) error {
 			o.Observe(g.RateLimit())
--- a/peer/client.go
+++ b/peer/client.go
@@ -29,6 +29,7 @@
 type Client struct {
 	http    *http.Client
 	service peerpb.PeerServiceClient // calls the address in the context
+	quotas  peerpb.QuotaServiceClient
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -45,7 +46,9 @@
 	t.MaxIdleConnsPerHost = idleConnsPerAddressMax
 	t.MaxIdleConns = idleConnsMax
 	h := &http.Client{Transport: t}
-	return &Client{h, peerpb.NewPeerServiceClient(addressedClient{h}, "http://"+placeholderHost, connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin))}
+	o := []connect.ClientOption{connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin)}
+	a, b := addressedClient{h}, "http://"+placeholderHost
+	return &Client{h, peerpb.NewPeerServiceClient(a, b, o...), peerpb.NewQuotaServiceClient(a, b, o...)}
 }
 
 // Close closes the idle connections.
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,186 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"figwheel/quota"
+)
+
+// usualPart is the usual demand of an account, as part of its rate.
+const usualPart = 1 / 1.6
+
+func limit(name string, rate float64) quota.Limit {
+	return quota.Limit{Account: name, Rate: rate, Burst: rate}
+}
+
+// demand returns the load of an account that sends its usual, and factor times as much
+// within that time from the start of the play.
+func demand(l quota.Limit, factor float64, from, to time.Duration) load {
+	return load{l.Account, surge(l.Rate*usualPart, factor, from, to)}
+}
+
+// TestSurgeIsHeldAndUsualDemandServed plays accounts of all sizes within their quotas, of
+// which one sends 9.2 times its usual for 8 s, spread over 81 daemons. It guards against
+// reports that are too slow to stop the surge within the window, against accounts that are
+// rejected within their quota, and against a flooding account that gets less than its
+// rate.
+func TestSurgeIsHeldAndUsualDemandServed(t *testing.T) {
+	for _, rate := range []float64{5, 10, 20, 40, 80, 160, 320, 580} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			hot, calm := limit("hot", rate), limit("calm", 60)
+			f := newFleet(t, uint64(rate), 81, 3, hot, calm)
+			f.play(2*time.Second, demand(hot, 1, 0, 0), demand(calm, 1, 0, 0))
+			calmSends := f.sends
+			n := f.counts()
+			f.play(10*time.Second, demand(hot, 1, 0, 0), demand(calm, 1, 0, 0))
+			f.checkServed("hot", n, 0.99)
+			f.checkServed("calm", n, 0.99)
+			calmSends = f.sends - calmSends
+			n, sends := f.counts(), f.sends
+			f.play(8*time.Second, demand(hot, 9.2, 0, time.Minute), demand(calm, 1, 0, 0))
+			sends = f.sends - sends
+			got := float64(len(f.runs["hot"])-n["hot"].admitted) / rate / 8
+			if got < 0.9 {
+				t.Errorf("the flooding account got %.2f of its rate, want at least 0.9", got)
+			}
+			f.checkServed("calm", n, 0.99)
+			f.play(4*time.Second, demand(hot, 1, 0, 0), demand(calm, 1, 0, 0))
+			w := f.checkWindows(hot, time.Time{})
+			f.checkWindows(calm, time.Time{})
+			t.Logf("worst window %.2f of the rule; %.2f of the rate; messages a second and daemon %.2f calm, %.2f flood", w, got, float64(calmSends)/81/10, float64(sends)/81/8)
+		})
+	}
+}
+
+// TestFaultsKeepTheWindow plays an account of each size at up to 9.2 times its usual while
+// something fails. It guards against a fault that makes daemons admit more than the quota
+// together: cut off ones, an aggregator that dies, freezes or wakes, two aggregators of a
+// site, counts that are lost with a message, and starts without memory.
+func TestFaultsKeepTheWindow(t *testing.T) {
+	cut := func(f *fleet, island func(i int) int) {
+		for i, n := range f.nodes {
+			n.island = island(i)
+		}
+	}
+	faults := map[string]func(f *fleet){
+		"a third cut off, each alone": func(f *fleet) {
+			cut(f, func(i int) int { return max(0, 1-i%3) * i })
+			f.after(12*time.Second, func() { cut(f, func(int) int { return 0 }) })
+		},
+		"a site cut off": func(f *fleet) {
+			cut(f, func(i int) int { return i % 3 / 2 })
+			f.after(12*time.Second, func() { cut(f, func(int) int { return 0 }) })
+		},
+		"the aggregators killed": func(f *fleet) {
+			l := f.aggregators()
+			f.kill(l...)
+			f.after(4*time.Second, func() { f.start(l...) })
+		},
+		"the aggregators frozen for 3 s": func(f *fleet) {
+			for _, i := range f.aggregators() {
+				f.nodes[i].frozenEnd = f.now.Add(3 * time.Second)
+			}
+		},
+		"the aggregators frozen for 1 s": func(f *fleet) {
+			for _, i := range f.aggregators() {
+				f.nodes[i].frozenEnd = f.now.Add(time.Second)
+			}
+		},
+		"all killed at once": func(f *fleet) {
+			f.kill(f.all()...)
+			f.after(2*time.Second, func() { f.start(f.all()...) })
+		},
+		"restarted in turn": func(f *fleet) {
+			for k, i := range f.all() {
+				f.after(time.Duration(k)*150*time.Millisecond, func() { f.kill(i) })
+				f.after(time.Duration(k)*150*time.Millisecond+time.Second, func() { f.start(i) })
+			}
+		},
+		"a twentieth of the messages lost": func(f *fleet) { f.lost = 0.05 },
+	}
+	for name, fault := range faults {
+		for _, rate := range []float64{5, 40, 300} {
+			t.Run(fmt.Sprint(name, " ", rate), func(t *testing.T) {
+				hot := limit("hot", rate)
+				f := newFleet(t, uint64(rate), 81, 3, hot)
+				f.play(4*time.Second, demand(hot, 1, 0, 0))
+				fault(f)
+				n := f.counts()
+				f.play(16*time.Second, demand(hot, 9.2, 2*time.Second, 10*time.Second))
+				w := f.checkWindows(hot, time.Time{})
+				t.Logf("worst window %.2f of the rule; %.2f of the rate", w, float64(len(f.runs["hot"])-n["hot"].admitted)/rate/16)
+			})
+		}
+	}
+}
+
+// TestLoweredLimitBindsAfterAWindow lowers a quota to a tenth while its callers send as
+// before. It guards against tokens and shares of the former limit that stay in use, and
+// against small quotas of which many daemons leave a part unused.
+func TestLoweredLimitBindsAfterAWindow(t *testing.T) {
+	for _, rate := range []float64{20, 100, 580} {
+		f := newFleet(t, uint64(rate), 81, 3, limit("a", rate))
+		usual := load{"a", constant(rate * usualPart)}
+		f.play(5*time.Second, usual)
+		low := limit("a", rate/10)
+		f.limits = []quota.Limit{low}
+		for i, n := range f.nodes {
+			f.after(time.Duration(i)*10*time.Millisecond, func() { n.SetLimits(f.limits, f.now) })
+		}
+		f.play(time.Second, usual)
+		since := f.now
+		f.play(65*time.Second, usual)
+		w := f.checkWindows(low, since)
+		got := f.between("a", since.Add(5*time.Second), f.now) / low.Rate / 60
+		t.Logf("worst window %.2f of the rule; %.2f of the rate", w, got)
+		if got < 0.9 {
+			t.Errorf("rate %.0f lowered to a tenth: %.2f of it used, want at least 0.9", rate, got)
+		}
+	}
+}
+
+// TestRandomFaultsKeepTheWindow plays random kills, cuts, freezes and losses. It guards
+// against a combination of faults that TestFaultsKeepTheWindow does not list.
+func TestRandomFaultsKeepTheWindow(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		hot := limit("hot", float64(rapid.IntRange(5, 400).Draw(r, "rate")))
+		f := newFleet(t, rapid.Uint64().Draw(r, "seed"), rapid.SampledFrom([]int{6, 30, 81}).Draw(r, "daemons"), 3, hot)
+		f.lost = rapid.SampledFrom([]float64{0, 0.03}).Draw(r, "lost")
+		f.play(4*time.Second, demand(hot, 1, 0, 0))
+		for range rapid.IntRange(1, 4).Draw(r, "faults") {
+			at := time.Duration(rapid.IntRange(0, 8000).Draw(r, "at")) * time.Millisecond
+			long := time.Duration(rapid.IntRange(200, 8000).Draw(r, "long")) * time.Millisecond
+			i := rapid.IntRange(0, len(f.nodes)-1).Draw(r, "first")
+			l := f.all()[i:min(len(f.nodes), i+rapid.IntRange(1, 30).Draw(r, "count"))]
+			kind := rapid.SampledFrom([]string{"kill", "freeze", "cut", "aggregators"}).Draw(r, "kind")
+			f.after(at, func() {
+				switch kind {
+				case "kill":
+					f.kill(l...)
+					f.after(long, func() { f.start(l...) })
+				case "freeze":
+					for _, i := range l {
+						f.nodes[i].frozenEnd = f.now.Add(long)
+					}
+				case "cut":
+					for _, i := range l {
+						f.nodes[i].island = i + 1
+						f.after(long, func() { f.nodes[i].island = 0 })
+					}
+				case "aggregators":
+					l := f.aggregators()
+					f.kill(l...)
+					f.after(long, func() { f.start(l...) })
+				}
+			})
+		}
+		f.play(18*time.Second, demand(hot, rapid.Float64Range(1, 9.2).Draw(r, "factor"), 2*time.Second, 10*time.Second))
+		if f.checkWindows(hot, time.Time{}) > 1 {
+			r.Fatal("the window is exceeded")
+		}
+	})
+}
