upstream, hop: let large answers take turns on the link

Cause: answers were sent over the instance's link as soon as the worker had them. Where downloads of 90 KB ask for more than a link of 11 Mbit/s carries, all of them came late, and small answers and the calls of the worker stood behind them, while slots were free.

Change: the gate keeps account of the link, as it does for large request bodies. It learns the mean size of answers by kind, sends large ones in parts that keep the link busy for 60 ms at the most, in order of rank, those that have begun first, then by goal, and rejects a request on arrival whose answer could not arrive before its goal by the bytes sent and expected. The mean wait for the link is reported as part of the service time of the kind. Answers to local callers, and deployments whose settings have no LinkMbps, are sent as before.

Weighed: turns for whole answers, by which one slow receiver or one answer of 540 KB holds up all others; the kernel's send queue, which does not give an order among connections; a field of its own in the load report, which needs another choice and another format.

--- a/caller/link.go
+++ b/caller/link.go
@@ -120,7 +120,7 @@
 	defer stop()
 	k := contract.ParseQueue(now, r.Header.Get(contract.QueueHeader))
 	q := upstream.Request{
-		AdmissionRequest: upstream.AdmissionRequest{Kind: r.Header.Get(contract.KindHeader), Deadline: d, Arrived: now, NoWait: k.NoWait, WaitEnd: k.WaitEnd},
+		AdmissionRequest: upstream.AdmissionRequest{Kind: r.Header.Get(contract.KindHeader), Deadline: d, Arrived: now, NoWait: k.NoWait, WaitEnd: k.WaitEnd, Answer: &upstream.Answer{}},
 		Service:          r.Header.Get(contract.ServiceHeader),
 		Origin:           r.Header.Get(contract.OriginHeader),
 		Body:             b,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -133,6 +133,9 @@
 		PlatformCall: d.store.calls.Load,
 		Sent:         d.worker.Sent,
 		Cuts:         d.cuts.Load,
+		LinkBacklog:  func() int64 { return d.worker.LinkLoad(d.now()).Backlog.Microseconds() },
+		LinkWaiting:  func() int64 { return int64(d.worker.LinkLoad(d.now()).Waiting) },
+		LinkRejected: func() int64 { return d.worker.LinkLoad(d.now()).Rejected },
 		RateLimit:    d.worker.RateLimit,
 	})
 	if err != nil {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -37,6 +37,11 @@
 	HoldBack bool
 	// Before is called with the response headers before they are sent; may be nil.
 	Before func(h http.Header)
+	// BeforePart is called before each part of the response body is sent. It has n bytes,
+	// of rest that are still to be sent, which is -1 if their number is not known. The
+	// function may wait for its turn on a link; if it returns a code other than 0, the
+	// response ends. It may be nil.
+	BeforePart func(n int, rest int64) result.Code
 	// CancelIfLeft cancels the context of the request if its sender has disconnected. It
 	// is called before a body is sent for which a daemon has asked; may be nil.
 	CancelIfLeft func()
@@ -192,6 +197,9 @@
 	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
+	if c := h.beforePart(n, restOf(r, p)); c != 0 {
+		return unknown(c, "the answer was not sent: "+c.Name())
+	}
 	f.Begun = true
 	if h.Before != nil {
 		h.Before(w.Header())
@@ -199,13 +207,29 @@
 	if b.Unfinished() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := forward(w, p, h.Headers, k, n, err); err != nil {
+	if err := h.forward(w, p, k, n, err); err != nil {
 		f.Code = result.AnswerCut
 		f.Text = err.Error()
 	}
 	return f
 }
 
+// beforePart calls BeforePart for n bytes if there are any.
+func (h Hop) beforePart(n int, rest int64) result.Code {
+	if h.BeforePart == nil || n == 0 {
+		return 0
+	}
+	return h.BeforePart(n, rest)
+}
+
+// restOf returns the length of the body of the response p to r, -1 if it is unknown.
+func restOf(r *http.Request, p *http.Response) int64 {
+	if r.Method == http.MethodHead {
+		return 0
+	}
+	return p.ContentLength
+}
+
 // fillBuffer reads from r until b is full or r ends. It returns the number of bytes
 // read and whether r ended.
 func fillBuffer(r io.Reader, b []byte) (n int, complete bool, err error) {
@@ -330,13 +354,13 @@
 // k, and err is the error of their read. An error means that the response is
 // incomplete: the caller of Do has to close the connection, since the status has been
 // sent.
-func forward(w http.ResponseWriter, p *http.Response, names contract.Headers, k *[bufferBytes]byte, n int, err error) error {
-	copyHeader(w.Header(), p.Header, names)
+func (h Hop) forward(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int, err error) error {
+	copyHeader(w.Header(), p.Header, h.Headers)
 	for t := range p.Trailer {
 		w.Header().Add("Trailer", t)
 	}
 	w.WriteHeader(p.StatusCode)
-	if err := copyBody(w, p, k, n, err); err != nil {
+	if err := h.copyBody(w, p, k, n, err); err != nil {
 		return err
 	}
 	for t, v := range p.Trailer {
@@ -351,13 +375,20 @@
 var bufferPool = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
 // copyBody copies the body of p to w, of which the first n bytes are already in k, and
-// err is the error of their read. It flushes a body of unknown length as it arrives,
+// err is the error of their read. BeforePart has been called for these. It flushes a body of unknown length as it arrives,
 // since its sender may wait for the caller to react to it. The head of a response is
 // flushed with the first bytes: what it says of the time is of their arrival.
-func copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int, err error) error {
+func (h Hop) copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int, err error) error {
 	c := http.NewResponseController(w)
+	sent := int64(0)
 	for first := true; ; first = false {
 		if n > 0 {
+			if !first {
+				if c := h.beforePart(n, max(-1, p.ContentLength-sent)); c != 0 {
+					return result.New(c, "the rest of the answer was not sent")
+				}
+			}
+			sent += int64(n)
 			if _, err := w.Write(k[:n]); err != nil {
 				return err
 			}
--- a/hop/stage.go
+++ b/hop/stage.go
@@ -10,6 +10,7 @@
 	StageBody   Stage = "Body"   // the daemon read the body, or waited to read it
 	StageQueue  Stage = "Queue"  // it waited for a slot of the worker
 	StageWorker Stage = "Worker" // it was being sent to the worker, or was at it
+	StageAnswer Stage = "Answer" // its answer waited for its turn on the instance's link
 	StageLink   Stage = "Link"   // it was being sent to another daemon, or was at it
 )
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -31,6 +31,10 @@
 	Sent         func() int64 // requests sent to the worker since the start
 	Cuts         func() int64 // connections of callers that ended under a request since the start
 
+	LinkBacklog  func() int64 // microseconds for which the answers that were sent keep the instance's link busy
+	LinkWaiting  func() int64 // parts of large answers that wait for their turns on the link
+	LinkRejected func() int64 // requests rejected for want of room on the link since the start
+
 	RateLimit func() float64 // requests per second that the worker takes, 0 if it states no limit
 }
 
@@ -83,6 +87,9 @@
 	e.Add(counter(m, "figwheel.platform.calls", "", g.PlatformCall))
 	e.Add(counter(m, "figwheel.worker.sent", "", g.Sent))
 	e.Add(counter(m, "figwheel.connections.cut", "", g.Cuts))
+	e.Add(gauge(m, "figwheel.link.backlog", "us", g.LinkBacklog))
+	e.Add(gauge(m, "figwheel.link.waiting", "", g.LinkWaiting))
+	e.Add(counter(m, "figwheel.link.rejected", "", g.LinkRejected))
 	_, err = m.Float64ObservableGauge("figwheel.worker.rate_limit", otel.WithDescription("requests per second that the worker takes, 0 without a limit"),
 		otel.WithFloat64Callback(func(_ context.Context, o otel.Float64Observer) error {
 			o.Observe(g.RateLimit())
--- a/upstream/drain.go
+++ b/upstream/drain.go
@@ -19,7 +19,7 @@
 }
 
 // EndWaits rejects all requests that wait as Leaving, and from then on those that
-// would have to wait.
+// would have to wait. Answers no longer wait for the link: they would be cut off.
 func (g *Gate) EndWaits() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -30,7 +30,10 @@
 	for _, w := range g.waitingBodies {
 		w.decision <- result.Leaving
 	}
-	g.waiting, g.waitingBodies = nil, nil
+	for _, p := range g.outlet.waiting {
+		p.decision <- 0
+	}
+	g.waiting, g.waitingBodies, g.outlet.waiting = nil, nil, nil
 }
 
 // isLate reports whether the drain does not allow the request q to begin after the
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -52,6 +52,7 @@
 	Nested   bool      // a call of the worker of this daemon, see contract.Begin
 	NoWait   bool      // reject instead of queueing, as another worker may have a free slot
 	WaitEnd  time.Time // until which the request may wait; zero if only its context limits that
+	Answer   *Answer   // nil if the answer is not sent over the instance's link
 }
 
 // withArrival returns q with the time now for its arrival if it has none.
@@ -89,6 +90,8 @@
 	bodiesInFlight     int       // requests whose large bodies are being transferred
 	bodyBytesInFlight  int64     // total size of these bodies
 	waitingBodies      []*waiter // requests that wait until their large bodies may be sent, in order of arrival
+
+	outlet outlet // answers on the link
 }
 
 type waiter struct {
@@ -277,7 +280,8 @@
 
 // Enter acquires a slot, waiting for one until x ends. It returns 0 once it has
 // a slot, and otherwise the code of the reason: Overloaded, Leaving, DeadlineExceeded
-// or CallerGone. Leave releases the slot.
+// or CallerGone. Leave releases the slot, and LeaveLink ends what is expected of the
+// answer, in either case.
 func (g *Gate) Enter(x context.Context, now time.Time, q AdmissionRequest) result.Code {
 	g.mu.Lock()
 	q = q.withArrival(now)
@@ -285,8 +289,14 @@
 		g.mu.Unlock()
 		return result.Leaving
 	}
+	if g.rejectsAnswer(q, 0, g.kindServiceTime(q.Kind), now) {
+		g.outlet.rejected++
+		g.mu.Unlock()
+		return result.Overloaded
+	}
 	if g.slotsInUse < g.slots && len(g.waiting) == 0 && g.limit.take(now) {
 		g.slotsInUse++
+		g.expectAnswer(q)
 		g.mu.Unlock()
 		return 0
 	}
@@ -300,6 +310,7 @@
 		return result.Leaving
 	}
 	g.waiting = append(g.waiting, w)
+	g.expectAnswer(q)
 	g.scheduleWake(now)
 	g.mu.Unlock()
 	select {
@@ -413,15 +424,15 @@
 // Load returns the load report that is attached to each response: the number of
 // requests that hold a slot, wait for one or have a large body in flight or
 // waiting, the mean service time of all requests, that of the kind, increased by
-// the cost of the requests that fail, and the rate limit with the time until it
-// admits one more request.
+// the cost of the requests that fail and by the mean wait of their answers for the
+// link, and the rate limit with the time until it admits one more request.
 func (g *Gate) Load(now time.Time, kind string) link.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return link.Load{
 		InFlight: g.slotsInUse + len(g.waiting) + g.bodiesInFlight + len(g.waitingBodies),
 		Hold:     g.serviceTime,
-		Work:     time.Duration((1 + failureCost*g.failureRate) * float64(g.kindServiceTimes[kind])),
+		Work:     time.Duration((1+failureCost*g.failureRate)*float64(g.kindServiceTimes[kind])) + g.outlet.kinds[kind].waited,
 
 		RateLimit: g.limit.perSecond(),
 		Wait:      g.limit.delay(len(g.waiting)+1, now),
--- a/upstream/gate_body.go
+++ b/upstream/gate_body.go
@@ -24,6 +24,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.linkBytesPerSecond = bytesPerSecond
+	g.outlet.bytesPerSecond = answerLinkShare * bytesPerSecond
 }
 
 // EnterBody waits until the request body of n bytes may be sent. It returns 0 if
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -205,14 +205,16 @@
 	if refused {
 		return hop.NotRun(result.CrashesWorkers, "workers crashed when it was sent to them")
 	}
+	t := transfer{Request: q, gate: &k.gate}
+	defer t.end()
 	if c := k.gate.Enter(y, now, q.AdmissionRequest); c != 0 {
 		return hop.NotRun(waitCode(x, c), k.waitText(c, q, "no slot of the worker became free, or its rate limit admitted no more")).At(hop.StageQueue, q.Now().Sub(now))
 	}
 	began := q.Now()
 	e := Abandoned
 	defer func() {
-		t := q.Now()
-		k.gate.Leave(t, q.Kind, t.Sub(began), e)
+		now := q.Now()
+		k.gate.Leave(now, q.Kind, now.Sub(began)-t.waited, e)
 	}()
 	// The worker may have left or been replaced while the request waited.
 	if s = k.state.Load(); s.Service != q.Service || !s.acceptsRequests(began) {
@@ -224,13 +226,17 @@
 	if errors.Is(x.Err(), context.Canceled) {
 		return hop.NotRun(result.CallerGone, "its sender left before it was sent to the worker").At(hop.StageQueue, began.Sub(now))
 	}
-	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, Set: k.headerFields(x, s, q, began), Exchange: k.nextExchange(), Echoes: s.echoesExchange}
+	h := hop.Hop{Transport: s.transport, Address: s.Address, Headers: k.Headers, HoldBack: k.HoldBack, Before: q.Before, BeforePart: t.beforePart(x), Set: k.headerFields(x, s, q, began), Exchange: k.nextExchange(), Echoes: s.echoesExchange}
 	k.sentCount.Add(1)
 	f := h.Do(x, w, r, q.Body)
 	e = endingOf(f)
+	t.complete = f.OK()
 	now = q.Now()
 	k.recordResult(x, s, &f, now)
 	k.trackCrashes(x, s, r, q, level, f, began)
+	if t.isWaiting {
+		return f.At(hop.StageAnswer, t.waited)
+	}
 	return f.At(hop.StageWorker, now.Sub(began))
 }
 
