upstream: let short urgent calls pass long work with time

Cause: a call of 81 ms with a goal of 300 ms waits until one of the long requests (810 ms, goal 4 s) that hold all slots ends, and its parent holds a slot of another worker meanwhile. If the queue was full of less important requests, the call was rejected although it would have been admitted next.

Change: a request whose goal is at least four service times away leaves free as many slots as the use of slots by urgent requests varies: more important ones that take a quarter of its time and would miss their goals by waiting for one like it. A full queue rejects its last request in place of a more important one that arrives.

Weighed: a reserve of the whole share of the calls, and one for all lower ranks, which takes slots from work that has no time either (380 ms, goal 1.2 s).

Work that has no time, and work alone, are served as before.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -68,7 +68,8 @@
 // It also keeps to the worker's rate limit, which requests wait for as for a slot.
 // Requests are admitted by rank. Within a rank the request with the earliest
 // goal that it can still meet is admitted first, so that short requests with
-// close goals overtake long ones that have time. A request that would miss its
+// close goals overtake long ones that have time. Those also leave some slots free for
+// much shorter and more important ones, see reserve. A request that would miss its
 // goal because of the wait is rejected on arrival: an overload then sheds some
 // requests instead of delaying all of them past their goals, and the rejected
 // requests can still be served elsewhere or later. The zero value admits nothing.
@@ -91,7 +92,8 @@
 	bodyBytesInFlight  int64     // total size of these bodies
 	waitingBodies      []*waiter // requests that wait until their large bodies may be sent, in order of arrival
 
-	outlet outlet // answers on the link
+	outlet   outlet              // answers on the link
+	arrivals map[string]arrivals // by kind
 }
 
 type waiter struct {
@@ -169,8 +171,9 @@
 			ahead++
 		}
 	}
-	d /= time.Duration(g.slots)
-	if g.slotsInUse+ahead < g.slots {
+	n := g.slotsFor(w.AdmissionRequest, now)
+	d /= time.Duration(n)
+	if g.slotsInUse+ahead < n {
 		d = 0
 	}
 	return max(d, g.limit.delay(ahead+1, now))
@@ -226,8 +229,11 @@
 		}
 		return true
 	})
-	for g.slotsInUse < g.slots && len(g.waiting) > 0 && g.limit.take(now) {
+	for g.slotsInUse < g.slots && len(g.waiting) > 0 {
 		w := slices.MinFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
+		if g.slotsInUse >= g.slotsFor(w.AdmissionRequest, now) || !g.limit.take(now) {
+			break
+		}
 		g.remove(w)
 		g.slotsInUse++
 		w.decision <- 0
@@ -289,19 +295,20 @@
 		g.mu.Unlock()
 		return result.Leaving
 	}
+	g.countArrival(q, now)
 	if g.rejectsAnswer(q, 0, g.kindServiceTime(q.Kind), now) {
 		g.outlet.rejected++
 		g.mu.Unlock()
 		return result.Overloaded
 	}
-	if g.slotsInUse < g.slots && len(g.waiting) == 0 && g.limit.take(now) {
+	if g.slotsInUse < g.slotsFor(q, now) && g.isFirst(q.Rank) && g.limit.take(now) {
 		g.slotsInUse++
 		g.expectAnswer(q)
 		g.mu.Unlock()
 		return 0
 	}
 	w := &waiter{AdmissionRequest: q, serviceTime: g.kindServiceTime(q.Kind), decision: make(chan result.Code, 1)}
-	if q.NoWait || len(g.waiting) >= g.queue || g.rejects(w, now) {
+	if q.NoWait || g.rejects(w, now) {
 		g.mu.Unlock()
 		return result.Overloaded
 	}
@@ -309,6 +316,10 @@
 		g.mu.Unlock()
 		return result.Leaving
 	}
+	if len(g.waiting) >= g.queue && !g.evict(q.Rank, now) {
+		g.mu.Unlock()
+		return result.Overloaded
+	}
 	g.waiting = append(g.waiting, w)
 	g.expectAnswer(q)
 	g.scheduleWake(now)
@@ -336,6 +347,22 @@
 	return !w.Goal.IsZero() && float64(wait+w.serviceTime) > goalShare*float64(w.Goal.Sub(now)) && wait > 0
 }
 
+// evict rejects the waiting request that would be admitted last, if it is less important
+// than the rank, and reports whether it did. A full queue would otherwise reject the
+// requests that do not have to wait in it.
+func (g *Gate) evict(rank int, now time.Time) bool {
+	if len(g.waiting) == 0 {
+		return false
+	}
+	w := slices.MaxFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
+	if w.Rank <= rank {
+		return false
+	}
+	g.remove(w)
+	w.decision <- result.Overloaded
+	return true
+}
+
 // cancel takes w out of the queue after x has ended, or releases its slot if one
 // was granted at the same moment. It returns the code of why x ended.
 func (g *Gate) cancel(x context.Context, w *waiter, now time.Time) result.Code {
