caller, daemon: serve pipelined requests at the same time

Cause: callers that send further requests on a connection before the first is answered had them served one after the other, since net/http serves one request of a connection at a time.

--- /dev/null
+++ b/caller/ahead.go
@@ -0,0 +1,318 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+)
+
+// aheadBytesMax bounds the bytes of an answer that wait for the answers before it. The
+// worker has to hold back the rest.
+const aheadBytesMax = 64 << 10
+
+// Ahead lets a connection serve requests that a caller sends before earlier ones have
+// been answered. net/http serves the requests of a connection one after the other, so
+// that the second one would spend the time of the first waiting, at a worker with free
+// slots. The answers are sent in the order of the requests.
+type Ahead struct {
+	Handler http.Handler
+	// May reports whether the request may be served before the connection has got to
+	// it. It must allow only requests that may run more than once: if the connection ends
+	// before, its caller sends the request again.
+	May   func(r *http.Request) bool
+	Depth int // requests of one connection that are served at the same time; below 2 only one is
+}
+
+// pipeline tracks the requests of a connection that arrive ahead. It is guarded by the
+// mutex of the connection.
+type pipeline struct {
+	config   Ahead
+	context  context.Context // of the requests; nil before net/http serves the connection
+	framer   framer
+	serving  bool // whether net/http serves a request
+	unserved int  // requests that have arrived and that net/http has not got to
+	ahead    []*aheadAnswer
+	skipped  int            // requests behind those in ahead that were not begun
+	dropped  []*aheadAnswer // which the connection does not use
+}
+
+// scan scans bytes that were read from the connection and begins the requests that
+// arrived ahead. Once one was not begun, no later one is before that has been served:
+// the answers of the first are due first.
+func (p *pipeline) scan(c *Connection, b []byte) {
+	if p.config.Depth < 2 || p.context == nil {
+		return
+	}
+	for _, head := range p.framer.scan(b) {
+		p.unserved++
+		if p.unserved == 1 && !p.serving {
+			continue // net/http is about to read it
+		}
+		if a := p.begin(c, head); a != nil {
+			p.ahead = append(p.ahead, a)
+		} else {
+			p.skipped++
+		}
+	}
+}
+
+// begin begins to serve the request with the given head, or returns nil.
+func (p *pipeline) begin(c *Connection, head []byte) *aheadAnswer {
+	if p.skipped > 0 || len(p.ahead)+1 >= p.config.Depth {
+		return nil
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || r.Host == "" || !p.config.May(r) {
+		return nil // net/http rejects a malformed one when it gets to it
+	}
+	r.RemoteAddr = c.RemoteAddr().String()
+	x, cancel := context.WithCancel(context.WithValue(p.context, aheadKey{}, true))
+	a := &aheadAnswer{request: r, cancel: cancel, header: make(http.Header), done: make(chan struct{})}
+	a.changed.L = &a.mu
+	context.AfterFunc(x, a.wake)
+	go a.run(p.config.Handler, r.WithContext(x))
+	return a
+}
+
+// take returns the answer to r if it was begun ahead, nil if not. It is called when
+// net/http gets to r.
+func (p *pipeline) take(r *http.Request) *aheadAnswer {
+	p.serving = true
+	p.unserved = max(0, p.unserved-1)
+	if len(p.ahead) == 0 {
+		p.skipped = max(0, p.skipped-1)
+		return nil
+	}
+	a := p.ahead[0]
+	p.ahead = p.ahead[1:]
+	if !a.isFor(r) {
+		a.cancel()
+		p.dropped = append(p.dropped, a)
+		return nil
+	}
+	return a
+}
+
+// unused returns the answers that net/http will not get to when the connection ends.
+func (p *pipeline) unused() []*aheadAnswer {
+	l := append(p.dropped, p.ahead...)
+	p.dropped, p.ahead = nil, nil
+	return l
+}
+
+// aheadKey is the key in the context of a request that is served ahead.
+type aheadKey struct{}
+
+// isAhead reports whether r is served before the connection has got to it.
+func isAhead(r *http.Request) bool {
+	b, _ := r.Context().Value(aheadKey{}).(bool)
+	return b
+}
+
+// takeAhead returns the answer to r if it was begun before net/http got to it.
+func takeAhead(r *http.Request) *aheadAnswer {
+	c := connectionOf(r)
+	if c == nil || r.ProtoMajor != 1 || isAhead(r) {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipeline.take(r)
+}
+
+// hasAhead reports whether requests behind r are being served: the connection must not
+// be closed before their answers.
+func hasAhead(r *http.Request) bool {
+	c := connectionOf(r)
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return isAhead(r) || len(c.pipeline.ahead) > 0
+}
+
+// aheadAnswer is the http.ResponseWriter of a request that is served ahead. It keeps
+// the answer until net/http gets to the request.
+type aheadAnswer struct {
+	request *http.Request
+	cancel  context.CancelFunc
+	done    chan struct{} // closed when the handler has returned
+
+	mu       sync.Mutex
+	changed  sync.Cond
+	header   http.Header
+	sent     http.Header // header as of WriteHeader, nil before
+	status   int
+	body     []byte // not taken by writeTo yet
+	ended    bool   // whether the handler has returned
+	aborted  bool   // whether it could not complete the answer
+	writeErr error  // of the connection
+}
+
+// errAheadEnded is the error of a write to a connection that has ended.
+var errAheadEnded = errors.New("the connection ended before the answer was sent")
+
+// run serves the request r and closes a.done.
+func (a *aheadAnswer) run(h http.Handler, r *http.Request) {
+	defer close(a.done)
+	defer func() {
+		p := recover() // the handler panics if it cannot complete the answer, and has logged any other panic
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.ended, a.aborted = true, p != nil
+		a.changed.Broadcast()
+	}()
+	h.ServeHTTP(a, r)
+}
+
+// isFor reports whether the answer is to r, as net/http has read it.
+func (a *aheadAnswer) isFor(r *http.Request) bool {
+	o := a.request
+	return r.Method == o.Method && r.RequestURI == o.RequestURI && r.Host == o.Host && reflect.DeepEqual(r.Header, o.Header)
+}
+
+// wake ends a write that waits, after the context of the request has ended.
+func (a *aheadAnswer) wake() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.writeErr == nil {
+		a.writeErr = errAheadEnded
+	}
+	a.changed.Broadcast()
+}
+
+// Header implements http.ResponseWriter.
+func (a *aheadAnswer) Header() http.Header { return a.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *aheadAnswer) WriteHeader(status int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writeHeader(status)
+}
+
+// writeHeader is WriteHeader with a.mu held.
+func (a *aheadAnswer) writeHeader(status int) {
+	if a.sent != nil {
+		return
+	}
+	a.sent, a.status = a.header.Clone(), status
+	a.changed.Broadcast()
+}
+
+// Write implements http.ResponseWriter. It waits while aheadBytesMax are kept.
+func (a *aheadAnswer) Write(b []byte) (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writeHeader(http.StatusOK)
+	for len(a.body) >= aheadBytesMax && a.writeErr == nil {
+		a.changed.Wait()
+	}
+	if a.writeErr != nil {
+		return 0, a.writeErr
+	}
+	a.body = append(a.body, b...)
+	a.changed.Broadcast()
+	return len(b), nil
+}
+
+// Flush implements http.Flusher. The answer is sent once the answers before it have been.
+func (a *aheadAnswer) Flush() {}
+
+// writeTo sends the answer to w, as far as it is there and as it arrives. It returns when
+// the handler has ended, and panics with http.ErrAbortHandler if that could not complete
+// the answer.
+func (a *aheadAnswer) writeTo(w http.ResponseWriter) {
+	defer a.cancel()
+	c := http.NewResponseController(w)
+	for started := false; ; started = true {
+		a.mu.Lock()
+		for len(a.body) == 0 && !a.ended && (started || a.sent == nil) {
+			a.changed.Wait()
+		}
+		b, ended := a.body, a.ended
+		a.body = nil
+		a.changed.Broadcast()
+		if !started && a.sent != nil {
+			maps.Copy(w.Header(), a.sent)
+			w.WriteHeader(a.status)
+		}
+		a.mu.Unlock()
+		if len(b) > 0 {
+			if _, err := w.Write(b); err != nil {
+				a.fail(err)
+			}
+		}
+		if ended {
+			break
+		}
+		if err := c.Flush(); err != nil {
+			a.fail(err)
+		}
+	}
+	<-a.done
+	if a.aborted {
+		panic(http.ErrAbortHandler)
+	}
+	for k, v := range a.header {
+		if strings.HasPrefix(k, http.TrailerPrefix) {
+			w.Header()[k] = v
+		}
+	}
+}
+
+// fail ends the writes of the handler, as the connection failed with err.
+func (a *aheadAnswer) fail(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writeErr = err
+	a.changed.Broadcast()
+}
+
+// ServeAhead serves r with h, or sends the answer that was begun before net/http got to
+// r. It is for handlers other than a Handler, which does so by itself.
+func ServeAhead(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	if a := takeAhead(r); a != nil {
+		a.writeTo(w)
+		return
+	}
+	h.ServeHTTP(w, r)
+}
+
+// answerAhead sends the answer a, which was begun before net/http got to its request r.
+func (h *Handler) answerAhead(w http.ResponseWriter, r *http.Request, a *aheadAnswer, version string, now time.Time) {
+	p := progressOf(r)
+	p.begin(r.Header.Get(h.Headers.RequestID), version, now)
+	p.reach(stageAttempt, "")
+	a.writeTo(w)
+	endAnswer(w, p, nil, h.Now())
+}
+
+// MayServeAhead reports whether r, which its caller sent before earlier requests of the
+// connection were answered, may be served before they are: if it may run more than once
+// and this daemon goes on serving the connection.
+func (h *Handler) MayServeAhead(r *http.Request) bool {
+	c := call{view: h.Daemon.View()}
+	if h.Daemon.IsDraining() || c.view.Snapshot == nil {
+		return false
+	}
+	t, ok := c.view.Snapshot.Match(r)
+	if !ok || t.Closed != 0 || len(t.Targets) == 0 {
+		return false
+	}
+	c.route = t
+	for _, s := range t.Targets {
+		if c.service, ok = c.view.Snapshot.Service(s.Service); !ok || !c.mayRunTwice(r) {
+			return false
+		}
+	}
+	return true
+}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -65,6 +65,7 @@
 	lookaheadErr  error         // error that ended the lookahead, not returned by Read yet
 	waitingReads  int           // calls of Read that wait for the lookahead
 	lookaheadDone chan struct{} // closed when the lookahead has ended; nil if none is running
+	pipeline      pipeline
 }
 
 // Listener is a net.Listener that wraps each accepted connection in a
@@ -81,6 +82,9 @@
 	// Cut is called when a connection ends under a request that was read and not
 	// answered; may be nil. It must not block.
 	Cut func(c Cut)
+	// Ahead says how requests are served that a caller sends before earlier ones have
+	// been answered.
+	Ahead Ahead
 }
 
 // Accept implements net.Listener.
@@ -97,6 +101,7 @@
 			continue
 		}
 		n.cut = l.Cut
+		n.pipeline.config = l.Ahead
 		return n, nil
 	}
 }
@@ -107,6 +112,7 @@
 func ConnContext(x context.Context, c net.Conn) context.Context {
 	if k, ok := c.(*Connection); ok {
 		x, k.cancelRequests = context.WithCancel(context.WithValue(x, connectionKey{}, k))
+		k.pipeline.context = x
 	}
 	return x
 }
@@ -184,9 +190,11 @@
 		c.progress.awaitNext()
 	}
 	c.mu.Lock()
+	c.pipeline.serving = c.pipeline.serving && next
 	for {
 		if !c.lookahead.isEmpty() {
-			n := c.lookahead.take(p)
+			n := c.lookahead.take(p[:c.pipeline.framer.limit(len(p))])
+			c.pipeline.framer.deliver(n)
 			if next {
 				c.startLookahead()
 			}
@@ -212,6 +220,7 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.progress.read(n, err)
+	n = c.keepNext(p[:n])
 	if n == 1 && next && err == nil {
 		c.progress.beginNext()
 		c.mu.Lock()
@@ -221,6 +230,20 @@
 	return n, err
 }
 
+// keepNext scans the bytes b that were read and moves those of later requests to the
+// lookahead. It returns the number of the others, which net/http gets.
+func (c *Connection) keepNext(b []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipeline.scan(c, b)
+	n := c.pipeline.framer.limit(len(b))
+	if n < len(b) {
+		c.lookahead.add(b[n:])
+	}
+	c.pipeline.framer.deliver(n)
+	return n
+}
+
 // readAhead reads into the lookahead until a read fails, or the caller has disconnected
 // while there is no room: Read then returns the rest. It closes done when it returns.
 func (c *Connection) readAhead(done chan<- struct{}) {
@@ -242,6 +265,7 @@
 		c.progress.read(n, err)
 		c.mu.Lock()
 		c.lookahead.add(b[:n])
+		c.pipeline.scan(c, b[:n])
 		// The deadline may have been replaced since the read timed out.
 		timeout := errors.Is(err, os.ErrDeadlineExceeded)
 		if timeout && !c.deadlinePassed(time.Now()) {
@@ -366,13 +390,17 @@
 }
 
 // Close implements net.Conn. It lingers if the answer was complete before its request,
-// unless another Close does so, which it ends. It returns after the lookahead has ended.
+// unless another Close does so, which it ends. It returns after the lookahead and the
+// requests that were begun ahead have ended.
 func (c *Connection) Close() error {
 	if t := c.progress.lingerUntil(); !t.IsZero() {
 		c.linger(t)
 	}
 	unread := HasUnreadBytes(c.Conn)
-	cut, ok := c.progress.close(unread) // before a Write fails, which is only a consequence
+	c.mu.Lock()
+	ahead := len(c.pipeline.ahead)
+	c.mu.Unlock()
+	cut, ok := c.progress.close(unread, ahead) // before a Write fails, which is only a consequence
 	err := c.Conn.Close()
 	c.report(cut, ok)
 	c.mu.Lock()
@@ -388,6 +416,10 @@
 	}
 	c.mu.Lock()
 	c.lookahead.release()
+	unused := c.pipeline.unused()
 	c.mu.Unlock()
+	for _, a := range unused {
+		<-a.done
+	}
 	return err
 }
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -21,6 +21,7 @@
 	ReadAt       time.Time // when the handler took the request, zero before
 	AnswerBytes  int64     // bytes of the answer that were written
 	RequestBytes int64     // bytes that were read of the request and after it
+	Ahead        int       // requests behind it that were being served
 }
 
 // stage is how far a request has got.
@@ -168,10 +169,11 @@
 }
 
 // close returns what to report when the connection is closed, with unread bytes in
-// its receive buffer or without.
-func (p *progress) close(unread bool) (Cut, bool) {
+// its receive buffer or without, while the given number of requests is served ahead.
+func (p *progress) close(unread bool, ahead int) (Cut, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.current.Ahead = ahead
 	switch {
 	case p.stage == stageBody, p.stage == stageAttempt, p.stage == stageFailed:
 		return p.end("closed before the answer was complete")
@@ -179,6 +181,8 @@
 		return p.end("closed with unread bytes, which resets the connection")
 	case p.stage == stageNone && p.requestBytes > 0 && p.answerBytes == 0:
 		return p.end("closed before the request reached its handler")
+	case ahead > 0:
+		return p.end("closed before the answers to requests that were served ahead")
 	}
 	return Cut{}, false
 }
@@ -231,9 +235,10 @@
 
 // progressOf returns the progress of the connection of r, nil if it is not tracked.
 // A connection of HTTP/2 is not: it carries many requests at a time.
+// Nor is a request that is served ahead: the connection is at an earlier one.
 func progressOf(r *http.Request) *progress {
 	c := connectionOf(r)
-	if c == nil || r.ProtoMajor != 1 {
+	if c == nil || r.ProtoMajor != 1 || isAhead(r) {
 		return nil
 	}
 	return &c.progress
--- /dev/null
+++ b/caller/framer.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"bytes"
+	"strings"
+)
+
+// framedHeadBytesMax bounds the head of a request that a framer follows, in bytes.
+const framedHeadBytesMax = 8 << 10
+
+// framer finds where requests without bodies begin and end in the bytes of a
+// connection. It gives up at the first request that it cannot be sure of: one with a
+// body, with line ends or header fields that parsers read differently, or with a long
+// head. What follows might be bytes of a body, which must not be taken for a request.
+// The zero value stands at the start of a connection.
+type framer struct {
+	lost      bool
+	head      []byte  // of the request whose end has not been found
+	scanned   int64   // bytes of the connection that were scanned
+	delivered int64   // bytes of the connection that net/http has got
+	ends      []int64 // positions at which the requests that were found end, above delivered
+}
+
+// scan scans the next bytes of the connection and returns the heads of the requests that
+// end in them.
+func (f *framer) scan(b []byte) [][]byte {
+	var heads [][]byte
+	for len(b) > 0 && !f.lost {
+		from := max(0, len(f.head)-len(headEnd)+1)
+		f.head = append(f.head, b...)
+		i := bytes.Index(f.head[from:], headEnd)
+		if i < 0 {
+			f.scanned += int64(len(b))
+			f.lost = len(f.head) > framedHeadBytesMax
+			break
+		}
+		n := from + i + len(headEnd)
+		used := n - (len(f.head) - len(b))
+		f.scanned += int64(used)
+		if f.lost = n > framedHeadBytesMax || !isWholeRequest(f.head[:n]); f.lost {
+			break
+		}
+		f.ends = append(f.ends, f.scanned)
+		heads = append(heads, bytes.Clone(f.head[:n]))
+		f.head, b = f.head[:0], b[used:]
+	}
+	if f.lost {
+		f.head = nil
+	}
+	return heads
+}
+
+// limit returns how many of the next n bytes net/http may get: not more than the rest of
+// one request, so that the next one stays with the Connection.
+func (f *framer) limit(n int) int {
+	if len(f.ends) == 0 {
+		return n
+	}
+	return int(min(int64(n), f.ends[0]-f.delivered))
+}
+
+// deliver records that net/http has got n bytes.
+func (f *framer) deliver(n int) {
+	f.delivered += int64(n)
+	for len(f.ends) > 0 && f.ends[0] <= f.delivered {
+		f.ends = f.ends[1:]
+	}
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// isWholeRequest reports whether the head is that of a request without a body after
+// which the connection goes on, beyond doubt.
+func isWholeRequest(head []byte) bool {
+	text := string(head[:len(head)-len(headEnd)])
+	first, rest, _ := strings.Cut(text, "\r\n")
+	if !strings.HasPrefix(first, "GET /") || !strings.HasSuffix(first, " HTTP/1.1") || strings.ContainsAny(first, "\r\n") {
+		return false
+	}
+	for line := range strings.SplitSeq(rest, "\r\n") {
+		name, _, ok := strings.Cut(line, ":")
+		if !ok || strings.ContainsAny(line, "\r\n") || strings.ContainsAny(name, " \t") {
+			return false
+		}
+		switch strings.ToLower(name) {
+		case "content-length", "transfer-encoding", "connection", "upgrade", "expect", "trailer":
+			return false
+		}
+	}
+	return true
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -114,10 +114,15 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t := h.Now()
 	v := h.Daemon.View()
-	w.Header().Set(contract.VersionHeader, v.Version())
-	if h.Daemon.IsDraining() {
+	a := takeAhead(r)
+	if h.Daemon.IsDraining() && !hasAhead(r) {
 		w.Header().Set("Connection", "close")
 	}
+	if a != nil {
+		h.answerAhead(w, r, a, v.Version(), t)
+		return
+	}
+	w.Header().Set(contract.VersionHeader, v.Version())
 	n := h.Random.Get().(*rand.Rand)
 	defer h.Random.Put(n)
 	p := progressOf(r)
--- a/daemon/cut.go
+++ b/daemon/cut.go
@@ -17,6 +17,7 @@
 		slog.String("Reason", v.Reason),
 		slog.String("Stage", v.Stage),
 		slog.Int64("RequestBytes", v.RequestBytes),
+		slog.Int("Ahead", v.Ahead),
 		slog.Int64("AnswerBytes", v.AnswerBytes),
 		slog.String("Version", v.Version),
 		slog.String("InForce", d.View().Version()),
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -141,10 +141,16 @@
 // startWork starts a server like start, for an address at which callers or other
 // daemons send requests. The function cut may be nil, see caller.Listener.
 func (s *servers) startWork(a net.Listener, h http.Handler, cut func(caller.Cut)) *server {
+	return s.startConnections(a, h, caller.Listener{Cut: cut})
+}
+
+// startConnections is startWork with the fields of v, whose Listener it sets.
+func (s *servers) startConnections(a net.Listener, h http.Handler, v caller.Listener) *server {
 	l := newDrainingListener(a)
 	c := &connections{}
 	s.idle.add(c)
-	return s.serve(l, keptListener{caller.Listener{Listener: l, Cut: cut}}, h, 0, c, connContext)
+	v.Listener = l
+	return s.serve(l, keptListener{v}, h, 0, c, connContext)
 }
 
 // connContext is caller.ConnContext for connections of a keptListener.
@@ -213,7 +219,7 @@
 	s := &servers{daemon: d}
 	s.idle.limit = connectionsMax()
 	e := d.edge.Headers
-	calls := s.startWork(d.listeners.call, &caller.Handler{
+	h := &caller.Handler{
 		Daemon:           d,
 		Worker:           &d.worker,
 		Transport:        t,
@@ -223,7 +229,11 @@
 		Random:           d.randomPool(),
 		Headers:          e,
 		ForwardedWaitMax: contract.ForwardedWaitMax(time.Duration(d.settings.DrainLimit)),
-	}, d.recordCut)
+	}
+	calls := s.startConnections(d.listeners.call, h, caller.Listener{
+		Cut:   d.recordCut,
+		Ahead: caller.Ahead{Handler: d.logPanics(h), May: h.MayServeAhead, Depth: d.settings.PipelineDepth},
+	})
 	calls.idleTimeout = d.callerIdleTimeout
 	s.work = []*server{
 		calls,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,6 +54,8 @@
 	CollectorPercent int `yaml:"CollectorPercent"` // heap growth in percent that starts a garbage collection; 0 is 400
 	LogRate          int `yaml:"LogRate"`          // maximum log lines per second about answered calls; 0 is 100
 
+	PipelineDepth int `yaml:"PipelineDepth"` // requests of one caller's connection that are served at the same time, if the caller does not wait for answers; 0 and 1 serve one after the other
+
 	LinkMbps float64 `yaml:"LinkMbps"` // bandwidth of the instance's network link in Mbit/s; 0 if not known
 
 	RetryPercent int `yaml:"RetryPercent"` // retry budget of a service that sets none itself, in percent of its requests; 0 is RetryPercentDefault
@@ -75,6 +77,9 @@
 	durationMax       = 10 * time.Minute
 )
 
+// pipelineDepthMax bounds the goroutines and answers that one connection may hold.
+const pipelineDepthMax = 64
+
 // RetryPercentDefault is the default retry budget of a service, in percent of its
 // requests.
 const RetryPercentDefault = 10
@@ -267,6 +272,9 @@
 	if s.RetryBurst < 0 {
 		fail("RetryBurst takes 0 or more, not %d", s.RetryBurst)
 	}
+	if s.PipelineDepth < 0 || s.PipelineDepth > pipelineDepthMax {
+		fail("PipelineDepth takes 0 to %d, not %d", pipelineDepthMax, s.PipelineDepth)
+	}
 	if s.LinkMbps < 0 || math.IsNaN(s.LinkMbps) {
 		fail("LinkMbps takes 0 or more, not %v", s.LinkMbps)
 	}
