--- a/caller/account_test.go
+++ b/caller/account_test.go
@@ -136,6 +136,50 @@
 	}
 }
 
+// TestAccountGoesBeforeRouteOnLink guards against a daemon that tells the one beside the
+// worker another order or account than the configuration states, or a key.
+func TestAccountGoesBeforeRouteOnLink(t *testing.T) {
+	type observed struct {
+		Rank, Account string
+		Key           bool
+	}
+	rank := 3
+	ranked, plain := account("ranked", 0, "secret-1"), account("plain", 0, "secret-2")
+	ranked.Rank = &rank
+	both := []site.Account{ranked, plain}
+	for _, c := range []struct {
+		name, path, key string
+		accounts        []site.Account
+		want            observed
+	}{
+		{"an account with a rank", "/closed/", "secret-1", both, observed{Rank: "3074", Account: "ranked"}},
+		{"an account with a rank, public", "/public/", "secret-1", both, observed{Rank: "3074", Account: "ranked"}},
+		{"an account without a rank", "/closed/", "secret-2", both, observed{Rank: "2", Account: "plain"}},
+		{"no account", "/public/", "", both, observed{Rank: "2"}},
+		{"a version without accounts", "/closed/", "secret-1", nil, observed{Rank: "2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := make(chan observed, 8)
+			var requests atomic.Int64
+			a := platformWorker(t, &requests, func(w net.Conn, q *http.Request) {
+				got <- observed{q.Header.Get(contract.RankHeader), q.Header.Get(contract.AccountHeader), strings.Contains(fmt.Sprint(q.Header), "secret")}
+				reply(w, "200 OK", "", "")
+			})
+			e := platformNode(t)
+			k := link.Candidate{Name: "0", Address: a, Slots: 2, SameSite: true, Peer: &link.Peer{}}
+			e.view.Store(accountView(t, 7, map[string]link.Candidates{"s": link.NewCandidates([]link.Candidate{k})}, c.accounts...))
+			q := request(t, e, "GET", c.path, nil)
+			q.Header.Set("Figwheel-Key", c.key)
+			if g := send(t, q); g.Status != http.StatusOK {
+				t.Fatalf("got %+v", g)
+			}
+			if d := cmp.Diff(c.want, <-got); d != "" {
+				t.Errorf("(-want +got)\n%s", d)
+			}
+		})
+	}
+}
+
 // TestNoConfigurationIsNotUnknownAccount guards against a daemon that has no version yet
 // and tells a customer that its key is wrong, after which the customer does not retry.
 func TestNoConfigurationIsNotUnknownAccount(t *testing.T) {
