upstream: reject at once what more important requests will overtake

Cause: the expected wait of a request counted what waits before it, not the more important requests that arrive meanwhile and overtake it.

Change: the expected wait is divided by the share of the slots that more important requests leave, by their admissions within the last second and their service times.

Weighed: arrivals in place of admissions, which count each offer of a request that is rejected, and so more than the slots can take.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -92,8 +92,8 @@
 	bodyBytesInFlight  int64     // total size of these bodies
 	waitingBodies      []*waiter // requests that wait until their large bodies may be sent, in order of arrival
 
-	outlet   outlet              // answers on the link
-	arrivals map[string]arrivals // by kind
+	outlet     outlet                // answers on the link
+	admissions map[string]admissions // by kind
 }
 
 type waiter struct {
@@ -158,7 +158,8 @@
 // expectedWait returns how long w is expected to wait for a slot and for the rate
 // limit, whichever takes longer. The wait for a slot is one mean service time for
 // the slots in use, and the service times of the waiting requests that are admitted
-// before w, divided among the slots.
+// before w, divided among the slots that more important requests leave: those that arrive
+// while w waits overtake it.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
 	if g.slots <= 0 {
 		return 0
@@ -172,7 +173,7 @@
 		}
 	}
 	n := g.slotsFor(w.AdmissionRequest, now)
-	d /= time.Duration(n)
+	d = time.Duration(float64(d) / float64(n) / g.shareLeft(w.Rank, now))
 	if g.slotsInUse+ahead < n {
 		d = 0
 	}
@@ -236,6 +237,7 @@
 		}
 		g.remove(w)
 		g.slotsInUse++
+		g.countAdmission(w.AdmissionRequest, now)
 		w.decision <- 0
 	}
 	g.scheduleWake(now)
@@ -295,7 +297,6 @@
 		g.mu.Unlock()
 		return result.Leaving
 	}
-	g.countArrival(q, now)
 	if g.rejectsAnswer(q, 0, g.kindServiceTime(q.Kind), now) {
 		g.outlet.rejected++
 		g.mu.Unlock()
@@ -303,6 +304,7 @@
 	}
 	if g.slotsInUse < g.slotsFor(q, now) && g.isFirst(q.Rank) && g.limit.take(now) {
 		g.slotsInUse++
+		g.countAdmission(q, now)
 		g.expectAnswer(q)
 		g.mu.Unlock()
 		return 0
--- a/upstream/gate_calls_test.go
+++ b/upstream/gate_calls_test.go
@@ -23,6 +23,7 @@
 // slotCounts says how the requests of a kind ended.
 type slotCounts struct {
 	asked, inGoal, late, rejected int
+	givenUp                       int           // of those rejected, after more than an eighth of the goal
 	waited                        time.Duration // of all that got a slot
 	longest                       time.Duration // of these
 }
@@ -45,6 +46,9 @@
 		c.asked++
 		if r != 0 {
 			c.rejected++
+			if waited > v.goal/8 {
+				c.givenUp++
+			}
 			return
 		}
 		c.waited += waited
@@ -121,3 +125,25 @@
 		})
 	}
 }
+
+// TestOvertakenWorkIsRejectedAtOnce guards against requests that wait in a queue, are
+// overtaken by more important ones that arrive later, and are rejected when their goals
+// have come near: they could have been rejected on arrival. Work of 550 ms with a goal of 1 s
+// asks for 0.9 of the slots, and less important work of 420 ms with a goal of 1.2 s for 0.4.
+func TestOvertakenWorkIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 18
+		got := playSlots(t, slots, []slotLoad{
+			{"first", 0, 0.9 * slots / 0.55, 550 * time.Millisecond, time.Second, 4 * time.Second},
+			{"second", 1, 0.4 * slots / 0.42, 420 * time.Millisecond, 1200 * time.Millisecond, 5 * time.Second},
+		}, 60*time.Second)
+		a, b := got["first"], got["second"]
+		t.Logf("first %+v, second %+v", *a, *b)
+		if b.givenUp > b.asked/20 {
+			t.Errorf("%d of %d were rejected after a long wait, want at most a twentieth", b.givenUp, b.asked)
+		}
+		if a.inGoal < a.asked*3/4 {
+			t.Errorf("%d of %d of the more important met their goals, want three quarters", a.inGoal, a.asked)
+		}
+	})
+}
