--- a/cmd/figwheel/daemon.go
+++ b/cmd/figwheel/daemon.go
@@ -71,7 +71,7 @@
 		log.SetOutput(slog.NewLogLogger(l.Handler(), slog.LevelDebug).Writer()) // for libraries that use package log
 		d, err := daemon.New(daemon.Options{
 			Settings: s,
-			Store:    platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: hop.NewTransport(0, platformDialTimeout, platformIdleTimeout)}},
+			Store:    &platform.Client{Base: s.Platform, HTTP: &http.Client{Transport: hop.NewTransport(0, platformDialTimeout, platformIdleTimeout)}},
 			Log:      l,
 			Now:      time.Now,
 			Seed:     uint64(time.Now().UnixNano()),
--- a/daemon/baseline_bench_test.go
+++ b/daemon/baseline_bench_test.go
@@ -30,7 +30,7 @@
 	b        *testing.B
 	store    *platformtest.Store
 	meter    peer.Meter
-	client   platform.Client
+	client   *platform.Client
 	sequence uint64
 	served   []atomic.Uint64
 	stop     context.CancelFunc
@@ -53,7 +53,7 @@
 		<-x.Done()
 		_ = s.Close()
 	})
-	p.client = platform.Client{Base: "http://" + l.Addr().String()}
+	p.client = &platform.Client{Base: "http://" + l.Addr().String()}
 	p.change(0)
 	for i := range n {
 		c := p.client
@@ -93,13 +93,13 @@
 	return time.Now()
 }
 
-func (p *baseline) watch(x context.Context, c platform.Client, i int) {
+func (p *baseline) watch(x context.Context, c *platform.Client, i int) {
 	for x.Err() == nil {
 		_ = c.Watch(x, change.HeadKey, "", func(e store.Event) error { return p.take(x, c, i, e.Object) })
 	}
 }
 
-func (p *baseline) poll(x context.Context, c platform.Client, i int, first time.Duration) {
+func (p *baseline) poll(x context.Context, c *platform.Client, i int, first time.Duration) {
 	for pause(x, first) {
 		first = baselinePollInterval
 		if o, err := c.Get(x, change.HeadKey); err == nil {
@@ -110,7 +110,7 @@
 
 // take fetches, checks and compiles the content that the head in o names, as a
 // daemon does.
-func (p *baseline) take(x context.Context, c platform.Client, i int, o store.Object) error {
+func (p *baseline) take(x context.Context, c *platform.Client, i int, o store.Object) error {
 	h, err := change.DecodeHead(o.Value)
 	if err != nil || h.InForce.Number <= p.served[i].Load() {
 		return err
--- a/daemon/odd_test.go
+++ b/daemon/odd_test.go
@@ -66,7 +66,7 @@
 				_, _ = w.Write(b)
 			}))
 			t.Cleanup(v.Close)
-			f := &fleet{t: t, store: s, wrap: func(string) store.Store { return platform.Client{Base: v.URL} }}
+			f := &fleet{t: t, store: s, wrap: func(string) store.Store { return &platform.Client{Base: v.URL} }}
 			f.startAll(1, 3)
 			for i := range f.daemons {
 				f.kill(i)
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -153,7 +153,7 @@
 	m.seed++
 	d, err := daemon.New(daemon.Options{
 		Settings: k.Settings,
-		Store:    platform.Client{Base: m.platformURL},
+		Store:    &platform.Client{Base: m.platformURL},
 		Log:      m.log,
 		Now:      time.Now,
 		Seed:     m.seed,
