daemon: restore its objects when the store lost them

Cause: after a restore from a copy the daemons took the configuration for known if its revision was the one of their last read, and knew their rosters as written, so that these stayed lost; the head of the own interface went back, and a change that built on it had a sequence that all daemons knew already, so that it never came into force. After a conflict with a roster that was gone, its writer kept the old version and tried it again.

Versions have the era, so the configuration is read again whatever its revision. An older one in the copy changes nothing and is logged (FE410); a change of the era is logged (FE409). The joiner, which lists the rosters every five seconds anyway, writes those again that are missing or differ at its first listing of an era. readHead writes a lost head again before anyone builds on it. Answers of an older era that are applied late are ignored, and confirm nothing.

Without the era in the stand-in's answers TestConfigOfSameRevisionIsRead- AfterRestore and TestRostersRestored fail ("not within 8s: all serve version 3", "not within 14s: the rosters are written again"); without the check in readHead TestHeadRestored fails ("not within 8s: all serve version 3"). All pass now. Stores that name no era are served as before.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -76,13 +76,17 @@
 }
 
 // mergeListing merges a listing of the control objects that was requested at the
-// time t.
+// time t, unless it is of an older era.
 func (c *control) mergeListing(l store.Listing, t time.Time) {
 	c.recordPlatformResult(nil)
+	if !c.observeEra(l.Era) {
+		return
+	}
 	c.listedAt = t
 	for _, o := range l.Objects {
 		c.mergeObject(o)
 	}
+	c.restoreObjects(l)
 	if !c.controlObjectsRead {
 		c.controlObjectsRead = true
 		w := emptyRosterWait
@@ -127,7 +131,7 @@
 // parts of the fleet that do not know each other, as after a simultaneous start
 // or a network partition.
 func (c *control) joinRosters(now time.Time) {
-	joiner := c.d.isManaged() && c.table.Rank("", "join", c.table.Self().Name) == 0
+	joiner := c.isJoiner()
 	if c.hasPeers() && !c.watching && !joiner || now.Before(c.nextJoin) {
 		return
 	}
@@ -173,8 +177,11 @@
 }
 
 // mergeObject merges a control object: the head or a roster. It ignores one that cannot be
-// read, which another writer may have left.
+// read, which another writer may have left, and one of an older era.
 func (c *control) mergeObject(o store.Object) {
+	if !c.observeEra(o.Era) {
+		return
+	}
 	switch {
 	case o.Key == change.HeadKey:
 		h, err := change.DecodeHead(o.Value)
@@ -315,8 +322,7 @@
 
 // writeRoster writes the roster of the site if this daemon ranks first there and
 // the roster has changed. The write is conditional on the version that was read
-// last. After a conflict the daemon reads the roster, contacts its instances and
-// tries again.
+// last.
 func (c *control) writeRoster(now time.Time) {
 	s := c.table.Self()
 	if !c.mayAct(now) || now.Before(c.nextRosterWrite) || c.table.Rank(s.Site, "roster", s.Name) != 0 {
@@ -330,24 +336,8 @@
 	}
 	// The random part prevents daemons that start together from conflicting again.
 	c.nextRosterWrite = now.Add(rosterInterval + time.Duration(c.random.Int64N(int64(rosterInterval))))
-	c.start(func(x context.Context) {
-		p, err := c.d.store.Put(x, k, o.Version, v)
-		if err != nil {
-			p, _ = c.d.store.Get(x, k)
-		}
-		_ = c.d.do(x, func(c *control) {
-			c.recordPlatformResult(err)
-			if p.Key != "" {
-				c.rosters[k] = p
-			}
-			if result.CodeOf(err) == result.VersionConflict {
-				c.nextRosterWrite = time.Time{}
-				c.contactRoster(p)
-				return
-			}
-			c.d.event(c.x, event.RosterWritten, slog.String("Key", k))
-		})
-	})
+	o.Key = k
+	c.putRoster(o, v, false)
 }
 
 // encodeRoster returns the encoded roster of the site: up to rosterEntriesMax of
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -70,21 +70,26 @@
 // readConfig reads the managed configuration from the platform once and applies
 // it.
 func (d *Daemon) readConfig(x context.Context) error {
+	var before change.Release
+	_ = d.do(x, func(c *control) { before = c.known.Head.InForce })
 	y, stop := context.WithTimeout(x, configReadTimeout)
 	defer stop()
 	o, err := d.store.Get(y, d.edge.ConfigKey)
 	if err != nil {
 		return err
 	}
-	return d.applyConfig(x, o)
+	return d.applyConfig(x, o, before)
 }
 
-// applyConfig decodes the configuration object o and merges it as the head. It
-// returns an error if the object cannot be decoded; the known configuration then
-// stays.
-func (d *Daemon) applyConfig(x context.Context, o store.Object) error {
-	known := false
-	_ = d.do(x, func(c *control) { known = o.Version == c.configVersion })
+// applyConfig decodes the configuration object o and merges it as the head. The
+// release before was in force when o was read. It returns an error if the object
+// cannot be decoded or is of an older era; the known configuration then stays.
+func (d *Daemon) applyConfig(x context.Context, o store.Object, before change.Release) error {
+	known, late := false, false
+	_ = d.do(x, func(c *control) { known, late = o.Version == c.configVersion, !c.observeEra(o.Era) })
+	if late {
+		return errLate(o.Key, o.Era)
+	}
 	if known {
 		return nil
 	}
@@ -101,7 +106,8 @@
 	return d.do(x, func(c *control) {
 		c.configVersion = o.Version
 		c.logFaults(o, faults)
-		if c.contents[h] == nil {
+		c.logOlderConfig(o, t.Number, h, before)
+		if c.contents[h] == nil && (t.Number > c.serving.Number() || c.known.References(h)) {
 			k := newContent(h, b)
 			k.config = t
 			c.contents[h] = k
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -64,6 +64,9 @@
 	poll              change.Poll // schedule of reads of the managed configuration
 	polling           bool
 	pollJitter        float64                 // from 0 to 1, drawn for each read
+	storeEra          uint64                  // newest era of the store that is known, 0 if it names none
+	storeAnswered     bool                    // whether the store was read since the start
+	restoredEra       uint64                  // era in which the objects of the daemons were last checked, see restoreObjects
 	configVersion     string                  // version of the configuration object at the last read
 	noticedAt         time.Time               // of the last notice of the worker
 	noticedSent       int64                   // requests sent to the worker by then
--- a/daemon/coordinate.go
+++ b/daemon/coordinate.go
@@ -126,18 +126,32 @@
 
 // readHead reads the head from the platform and returns its object and its
 // decoded value. Without an object both are empty and the version is
-// store.Absent.
+// store.Absent. If the head is older than the one that was known before, the store has
+// lost that one: readHead writes it again and returns WriteUnknown, so that the caller
+// reads the head another time.
 func (d *Daemon) readHead(x context.Context) (store.Object, change.Head, error) {
+	var known change.Head
+	_ = d.do(x, func(c *control) { known = c.known.Head })
 	o, err := d.store.Get(x, change.HeadKey)
 	_ = d.do(x, func(c *control) { c.recordPlatformResult(err) })
-	if result.CodeOf(err) == result.NotFound {
-		return store.Object{Key: change.HeadKey, Version: store.Absent}, change.Head{}, nil
-	}
-	if err != nil {
+	var h change.Head
+	switch {
+	case result.CodeOf(err) == result.NotFound:
+		o = store.Object{Key: change.HeadKey, Version: store.Absent}
+	case err != nil:
 		return o, change.Head{}, err
+	default:
+		if h, err = change.DecodeHead(o.Value); err != nil {
+			return o, h, err
+		}
+	}
+	if h.Sequence >= known.Sequence {
+		return o, h, nil
+	}
+	if err := d.restoreHead(x, o, known); err != nil {
+		return o, h, err
 	}
-	h, err := change.DecodeHead(o.Value)
-	return o, h, err
+	return o, h, result.New(result.WriteUnknown, "the store had head %d, %d was written again", h.Sequence, known.Sequence)
 }
 
 // writeHead writes h on condition that the head object still has the version of
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -70,15 +70,19 @@
 	return t, nil, err
 }
 
-// write writes a valid configuration of that number.
-func (m *managedFleet) write(number uint64) {
-	m.t.Helper()
-	t := site.Table{
+// table returns a valid configuration of that number.
+func table(number uint64) site.Table {
+	return site.Table{
 		Number:   number,
 		Services: []site.Service{{Name: "s", Deadline: time.Second, Slots: 2, Connections: 4}},
 		Routes:   []site.Route{{Name: "r", Host: "h.example", PathPrefix: "/", Targets: []site.Split{{Service: "s", Weight: 1}}}},
 	}
-	b, err := t.Encode()
+}
+
+// write writes a valid configuration of that number.
+func (m *managedFleet) write(number uint64) {
+	m.t.Helper()
+	b, err := table(number).Encode()
 	if err != nil {
 		m.t.Fatal(err)
 	}
