soak: restore the store from an older copy

The step store-copy takes the store down, restores it from a copy and writes the configuration again after a while. Its steps are drawn from a generator of their own, so that the other steps of a seed stay what they were.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -16,6 +16,7 @@
 
 	"figwheel/platform"
 	"figwheel/platform/platformtest"
+	"figwheel/result"
 )
 
 const (
@@ -118,6 +119,7 @@
 // nodes without starting them.
 func newEnvironment(x context.Context, o Options) (*environment, error) {
 	e := &environment{binary: o.Binary, dir: o.Dir, store: &platformtest.Store{}, runs: &platformtest.Runs{}, activeStoreFaults: make(map[Kind]int)}
+	e.store.SetEra(1)
 	e.checker = newChecker(e.runs)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -235,6 +237,45 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion++
+	if err := e.putConfig(); err != nil {
+		return err
+	}
+	e.checker.recordAccepted(e.configVersion, time.Now())
+	return nil
+}
+
+// restoreStore takes the store down for a time, lets it come back from a copy that was
+// as old when it went down, and after the same time writes the configuration again.
+func (e *environment) restoreStore(x context.Context, t time.Duration) error {
+	copied := time.Now().Add(-t)
+	e.switchStoreFault(StoreDown, 1)
+	wait(x, t)
+	err := e.loadCopy(copied)
+	e.switchStoreFault(StoreDown, -1)
+	wait(x, t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return errors.Join(err, e.putConfig())
+}
+
+// loadCopy restores the store from a copy of it from the time t.
+func (e *environment) loadCopy(t time.Time) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.SetFaults(platformtest.Faults{})
+	e.store.Restore(t)
+	o, err := e.store.Get(context.Background(), platform.ConfigKey)
+	e.store.SetFaults(e.storeFaults())
+	e.objectVersion = o.Version // Absent if the copy is from before the first configuration
+	if result.CodeOf(err) == result.NotFound {
+		return nil
+	}
+	return err
+}
+
+// putConfig writes the configuration with the newest version to the store. The caller
+// holds e.mu.
+func (e *environment) putConfig() error {
 	b, err := platformtest.Config(e.configVersion, host,
 		platformtest.Route{PathPrefix: "/twice/", Service: services[e.configVersion%2], Repeats: true},
 		platformtest.Route{PathPrefix: "/once/", Service: services[(e.configVersion+1)%2]},
@@ -249,7 +290,6 @@
 		return errors.Join(errors.New("cannot write the configuration to the store"), err)
 	}
 	e.objectVersion = o.Version
-	e.checker.recordAccepted(e.configVersion, time.Now())
 	return nil
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -18,6 +20,7 @@
 	StoreDown      Kind = "store-down"       // the store fails every call
 	StoreRefuses   Kind = "store-refuses"    // the store answers 503 to every call
 	StoreLoses     Kind = "store-loses"      // writes to the store take effect and their answers are lost
+	StoreCopy      Kind = "store-copy"       // the store is down and comes back from an older copy; operators then write again what it lost
 	LinkSlow       Kind = "link-slow"        // delay between one daemon and the store
 	LinkSilent     Kind = "link-silent"      // bytes between one daemon and the store are held back
 	LinkSilentTo   Kind = "link-silent-to"   // only those towards the store
@@ -31,7 +34,8 @@
 	Config         Kind = "config"           // operators write the next version of the configuration
 )
 
-// kinds lists each kind with its relative frequency in a plan.
+// kinds lists each kind with its relative frequency in a plan, but for StoreCopy, whose
+// steps are drawn apart from the others, so that those of a seed stay what they were.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -75,6 +79,7 @@
 const (
 	stepGapMin, stepGapMax       = 100 * time.Millisecond, 1200 * time.Millisecond
 	stepLengthMin, stepLengthMax = 300 * time.Millisecond, 4 * time.Second
+	copyGapMin, copyGapMax       = 2 * time.Second, 20 * time.Second // between two steps of the kind StoreCopy
 )
 
 // Plan returns the steps of a seed in the order in which they start, all of
@@ -99,5 +104,10 @@
 		}
 		l = append(l, s)
 	}
+	r = rand.New(rand.NewPCG(seed, 2))
+	for t := between(copyGapMin, copyGapMax); t < length; t += between(copyGapMin, copyGapMax) {
+		l = append(l, Step{At: t, For: between(stepLengthMin, stepLengthMax), Kind: StoreCopy})
+	}
+	slices.SortStableFunc(l, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return l
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -118,6 +118,10 @@
 		e.switchStoreFault(s.Kind, 1)
 		wait(x, s.For)
 		e.switchStoreFault(s.Kind, -1)
+	case StoreCopy:
+		if err := e.restoreStore(x, s.For); err != nil {
+			e.checker.recordViolation(InForce, "%v", err)
+		}
 	case LinkSlow:
 		link(Slow)
 	case LinkSilent:
