caller: match answers begun ahead to their requests in order

Cause: when several requests came in one read, the first was served by net/http and the others were begun ahead, but the answer of the second was compared with the first request, dropped, and its request ran again. A request that had run could then be rejected as not run.

Change: the connection keeps one entry for each request that has arrived, begun ahead or not, and takes them in order.

Test: TestPipelinedRequestsAreServedTogether now counts runs; it failed before (2 requests ran a second time).

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -33,14 +33,19 @@
 // pipeline tracks the requests of a connection that arrive ahead. It is guarded by the
 // mutex of the connection.
 type pipeline struct {
-	config   Ahead
-	context  context.Context // of the requests; nil before net/http serves the connection
-	framer   framer
-	serving  bool // whether net/http serves a request
-	unserved int  // requests that have arrived and that net/http has not got to
-	ahead    []*aheadAnswer
-	skipped  int            // requests behind those in ahead that were not begun
-	dropped  []*aheadAnswer // which the connection does not use
+	config  Ahead
+	context context.Context // of the requests; nil before net/http serves the connection
+	framer  framer
+	serving bool      // whether net/http serves a request
+	arrived []arrival // requests that net/http has not got to, in order
+	waiting int       // those of them that wait for their turn
+	dropped []*aheadAnswer
+}
+
+// arrival is a request that net/http has not got to.
+type arrival struct {
+	answer *aheadAnswer // nil if it was not begun
+	waits  bool         // whether it waits for requests before it
 }
 
 // scan scans bytes that were read from the connection and begins the requests that
@@ -51,21 +56,21 @@
 		return
 	}
 	for _, head := range p.framer.scan(b) {
-		p.unserved++
-		if p.unserved == 1 && !p.serving {
-			continue // net/http is about to read it
+		var v arrival
+		if len(p.arrived) > 0 || p.serving { // otherwise net/http is about to read it
+			v.answer = p.begin(c, head)
+			v.waits = v.answer == nil
 		}
-		if a := p.begin(c, head); a != nil {
-			p.ahead = append(p.ahead, a)
-		} else {
-			p.skipped++
+		if v.waits {
+			p.waiting++
 		}
+		p.arrived = append(p.arrived, v)
 	}
 }
 
 // begin begins to serve the request with the given head, or returns nil.
 func (p *pipeline) begin(c *Connection, head []byte) *aheadAnswer {
-	if p.skipped > 0 || len(p.ahead)+1 >= p.config.Depth {
+	if p.waiting > 0 || p.begun()+1 >= p.config.Depth {
 		return nil
 	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -81,29 +86,47 @@
 	return a
 }
 
+// begun returns the number of requests that are served ahead.
+func (p *pipeline) begun() int {
+	n := 0
+	for _, v := range p.arrived {
+		if v.answer != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // take returns the answer to r if it was begun ahead, nil if not. It is called when
 // net/http gets to r.
 func (p *pipeline) take(r *http.Request) *aheadAnswer {
 	p.serving = true
-	p.unserved = max(0, p.unserved-1)
-	if len(p.ahead) == 0 {
-		p.skipped = max(0, p.skipped-1)
+	if len(p.arrived) == 0 {
 		return nil
 	}
-	a := p.ahead[0]
-	p.ahead = p.ahead[1:]
-	if !a.isFor(r) {
-		a.cancel()
-		p.dropped = append(p.dropped, a)
-		return nil
+	v := p.arrived[0]
+	p.arrived = p.arrived[1:]
+	if v.waits {
+		p.waiting--
 	}
-	return a
+	a := v.answer
+	if a == nil || a.isFor(r) {
+		return a
+	}
+	a.cancel()
+	p.dropped = append(p.dropped, a)
+	return nil
 }
 
 // unused returns the answers that net/http will not get to when the connection ends.
 func (p *pipeline) unused() []*aheadAnswer {
-	l := append(p.dropped, p.ahead...)
-	p.dropped, p.ahead = nil, nil
+	l := p.dropped
+	for _, v := range p.arrived {
+		if v.answer != nil {
+			l = append(l, v.answer)
+		}
+	}
+	p.dropped, p.arrived = nil, nil
 	return l
 }
 
@@ -136,7 +159,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return isAhead(r) || len(c.pipeline.ahead) > 0
+	return isAhead(r) || c.pipeline.begun() > 0
 }
 
 // aheadAnswer is the http.ResponseWriter of a request that is served ahead. It keeps
--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -57,7 +57,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			begun := make(chan string, 3)
+			begun := make(chan string, 9)
 			release := make(chan struct{})
 			conn := serveAhead(t, 8, func(w http.ResponseWriter, r *http.Request) {
 				begun <- r.URL.Path
@@ -93,6 +93,9 @@
 			if d := cmp.Diff([]string{"/first", "/second", "/third"}, answers); d != "" {
 				t.Errorf("answers (-want +got):\n%s", d)
 			}
+			if n := len(begun); n > 0 {
+				t.Errorf("%d requests ran a second time", n)
+			}
 		})
 	}
 }
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -398,7 +398,7 @@
 	}
 	unread := HasUnreadBytes(c.Conn)
 	c.mu.Lock()
-	ahead := len(c.pipeline.ahead)
+	ahead := c.pipeline.begun()
 	c.mu.Unlock()
 	cut, ok := c.progress.close(unread, ahead) // before a Write fails, which is only a consequence
 	err := c.Conn.Close()
