quota: take the part of lost daemons out of the bucket

Traces showed:

- A daemon that is cut off passes over one aggregator after the other until it is its own, and then forgot its debt.
It now stays isolated while it is alone.
With few requests a second it also never called an account short, as chance explained the demand; a debt beyond chance now does.
- The bucket was cut to the burst of those that are left only if it was full.
In a surge it is not, and their part of the burst had been used twice.
The loss now takes that part from any level, and the part of the rate for the whole time until a daemon is missed.
- A daemon without an answer for 0.6 s admits 2.5 times the usual of an account that is not short, instead of everything until 1 s.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -32,6 +32,10 @@
 	// demandDeviations is how many standard deviations of a demand rate, with arrivals by
 	// chance, an account's demand must be above its quota.
 	demandDeviations = 1.5
+	// debtMax, in requests, and debtRateMax, in seconds of the rate, are the debt that chance
+	// explains.
+	debtMax     = 3
+	debtRateMax = 0.25
 	// settleTime is the time in which a level above or below zero is used up. It is longer
 	// than the delay of the control loop, which would oscillate otherwise.
 	settleTime = time.Second
@@ -160,12 +164,12 @@
 // share returns the part of the demand that the quota has room for. The load that it
 // answers: an account whose callers send several times its rate for seconds, at all
 // daemons, gets its rate all the time and neither more nor less. An account that is not
-// short becomes so only if chance does not explain its demand.
+// short becomes so only if chance does not explain its demand or its debt.
 func (t *total) share(part float64) float64 {
 	rate := t.limit.Rate * part
 	room := max(rate+t.level/settleTime.Seconds(), rateShareMin*rate)
 	low := t.demand
-	if !t.short {
+	if !t.short && t.level > -debtMax-debtRateMax*rate {
 		low -= demandDeviations * math.Sqrt(t.demand/(2*demandTime.Seconds()))
 	}
 	if low <= room {
@@ -283,8 +287,9 @@
 	lost := max(0, l.part-part)
 	for _, t := range l.accounts {
 		t.fill(l.part, now) // until now with the part of before
-		// The daemons that are lost have used their part since their last report.
-		t.level = min(t.level, t.limit.Burst*part) - t.limit.Rate*lost*peerLifetime.Seconds()
+		// The daemons that are lost take their part of a full bucket with them, and have
+		// used their part of the rate since their last report.
+		t.level = min(t.level-lost*(t.limit.Burst+t.limit.Rate*ReporterLifetime.Seconds()), t.limit.Burst*part)
 	}
 	l.part = part
 	var s []Share
@@ -384,6 +389,12 @@
 	return r
 }
 
+// IsAlone reports whether at most one daemon uses the shares of the aggregators that are
+// in contact.
+func (l *Ledger) IsAlone(now time.Time) bool {
+	return l.Reporters(now)+l.peerReporters(now) <= 1
+}
+
 // IsActive reports whether daemons report to this aggregator.
 func (l *Ledger) IsActive(now time.Time) bool { return now.Sub(l.touchedAt) < ReporterLifetime }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -22,6 +22,16 @@
 	// the report. After that it is isolated.
 	ShareLifetime = 1000 * time.Millisecond
 
+	// lateTime is the time since the last report that was answered after which no answer is
+	// expected any more. From then on an account that is not short gets lateFactor times its
+	// usual at this daemon and lateMin requests: the daemon may be cut off, and a surge would
+	// not be seen.
+	lateTime   = 600 * time.Millisecond
+	lateFactor = 2.5
+	lateMin    = 2
+	// usualWeight is the weight of the latest report in the usual rate of an account.
+	usualWeight = 0.2
+
 	surgeMin    = 4 // arrivals since the last report that may be chance
 	surgeFactor = 2 // times the daemon's even part of the quota above which arrivals are a surge
 
@@ -75,6 +85,7 @@
 	sentOffered, sentAdmitted   int64 // as of the last report
 	ackedOffered, ackedAdmitted int64 // as of the last report that was answered
 
+	usual  float64              // requests per second that were admitted, on average
 	recent [recentReports]int64 // admitted, as of the last reports, the oldest first
 
 	share  float64 // 1 for an account that is not short
@@ -179,7 +190,8 @@
 				l.signalSurge()
 			}
 		}
-		if ok = a.takeShare(); ok {
+		late := now.Sub(time.Unix(0, end).Add(-ShareLifetime))
+		if ok = a.takeShare() && !a.isSurge(late); ok {
 			a.admitted++
 		}
 	}
@@ -203,6 +215,12 @@
 	return true
 }
 
+// isSurge reports whether the account, for the time late without an answer to a report, has
+// got all that is admitted without one.
+func (a *account) isSurge(late time.Duration) bool {
+	return a.share >= 1 && late > lateTime && float64(a.admitted-a.ackedAdmitted) >= lateFactor*a.usual*late.Seconds()+lateMin
+}
+
 // takeLocal takes a token from this daemon's own bucket, which has one part in known of
 // the quota. The shares of the daemon ended at end, in Unix nanoseconds. The bucket starts
 // with less than a token, so that the buckets of many daemons that are isolated at once do
@@ -333,15 +351,24 @@
 	defer l.mutex.Unlock()
 	l.acked, l.repeat, l.failures = l.sequence, false, 0
 	for _, a := range l.ids {
-		a.mutex.Lock()
-		a.ackedOffered, a.ackedAdmitted = a.sentOffered, a.sentAdmitted
-		a.mutex.Unlock()
+		a.answered(sent.Sub(l.sentAt))
 	}
 	l.sentAt = sent
 	l.apply(p)
 	l.sharesEnd.Store(sent.Add(ShareLifetime).UnixNano())
 }
 
+// answered records that the last report, which came that time after the one before, was
+// answered.
+func (a *account) answered(after time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if t := after.Seconds(); t > 0 {
+		a.usual += usualWeight * (float64(a.sentAdmitted-a.ackedAdmitted)/t - a.usual)
+	}
+	a.ackedOffered, a.ackedAdmitted = a.sentOffered, a.sentAdmitted
+}
+
 // Told applies shares that the aggregator sent without a report, because an account
 // became short. They do not prolong the time for which shares are used. It reports
 // whether they were applied: those that rest on an older report than the last answered
--- a/quota/node.go
+++ b/quota/node.go
@@ -166,7 +166,10 @@
 		n.reporting = true
 		return Message{Kind: ToAggregator, To: to, Report: q, sent: now}, true
 	}
-	n.limiter.Answered(n.answer(q, now), now)
+	// An aggregator that nobody else reaches is a daemon that is cut off.
+	if a := n.answer(q, now); !n.ledger.IsAlone(now) || n.known() == 1 {
+		n.limiter.Answered(a, now)
+	}
 	return Message{}, false
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -149,27 +149,42 @@
 // third of the daemons are cut off.
 func TestRandomFaultsKeepTheWindow(t *testing.T) {
 	for seed := range uint64(100) {
-		r := rand.New(rand.NewPCG(seed, 1))
-		hot := limit("hot", 5*math.Pow(100, r.Float64()))
-		f := newFleet(t, seed, []int{6, 30, 81}[r.IntN(3)], hot)
-		f.lost = []float64{0, 0.03}[r.IntN(2)]
-		f.play(4*time.Second, demand(hot, 1, 0, 0))
-		cuts := len(f.nodes) / 3 // daemons that may still be cut off
-		var plan []string
-		for range 1 + r.IntN(4) {
-			at, long := time.Duration(r.IntN(8000))*time.Millisecond, time.Duration(200+r.IntN(7800))*time.Millisecond
-			i, kind := r.IntN(len(f.nodes)), []string{"kill", "freeze", "cut", "kill aggregators"}[r.IntN(4)]
-			l := f.all()[i:min(len(f.nodes), i+1+r.IntN(30))]
-			if kind == "cut" {
-				l = l[:min(len(l), cuts)]
-				cuts -= len(l)
-			}
-			plan = append(plan, fmt.Sprint(kind, " ", len(l), " after ", at, " for ", long))
-			f.after(at, func() { f.fail(kind, l, long) })
-		}
-		f.play(18*time.Second, demand(hot, 1+8.2*r.Float64(), 2*time.Second, 10*time.Second))
-		if f.checkWindows(hot, time.Time{}) > 1 {
-			t.Errorf("seed %d, %d daemons: %s", seed, len(f.nodes), strings.Join(plan, ", "))
+		playPlan(t, seed)
+	}
+}
+
+// TestCutAtTheStartOfASurgeKeepsTheWindow plays the plans of TestRandomFaultsKeepTheWindow
+// that are known to fail, of the first thousand: a third of the daemons is cut off within
+// half a second after the start of a surge. See docs/issues/quota-cut.md.
+func TestCutAtTheStartOfASurgeKeepsTheWindow(t *testing.T) {
+	for _, seed := range []uint64{476, 684} {
+		playPlan(t, seed)
+	}
+}
+
+// playPlan plays the random plan of that seed and checks the windows.
+func playPlan(t *testing.T, seed uint64) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 1))
+	hot := limit("hot", 5*math.Pow(100, r.Float64()))
+	f := newFleet(t, seed, []int{6, 30, 81}[r.IntN(3)], hot)
+	f.lost = []float64{0, 0.03}[r.IntN(2)]
+	f.play(4*time.Second, demand(hot, 1, 0, 0))
+	cuts := len(f.nodes) / 3 // daemons that may still be cut off
+	var plan []string
+	for range 1 + r.IntN(4) {
+		at, long := time.Duration(r.IntN(8000))*time.Millisecond, time.Duration(200+r.IntN(7800))*time.Millisecond
+		i, kind := r.IntN(len(f.nodes)), []string{"kill", "freeze", "cut", "kill aggregators"}[r.IntN(4)]
+		l := f.all()[i:min(len(f.nodes), i+1+r.IntN(30))]
+		if kind == "cut" {
+			l = l[:min(len(l), cuts)]
+			cuts -= len(l)
 		}
+		plan = append(plan, fmt.Sprint(kind, " ", len(l), " after ", at, " for ", long))
+		f.after(at, func() { f.fail(kind, l, long) })
+	}
+	f.play(18*time.Second, demand(hot, 1+8.2*r.Float64(), 2*time.Second, 10*time.Second))
+	if f.checkWindows(hot, time.Time{}) > 1 {
+		t.Errorf("seed %d, %d daemons: %s", seed, len(f.nodes), strings.Join(plan, ", "))
 	}
 }
