--- a/upstream/gate_answer_test.go
+++ b/upstream/gate_answer_test.go
@@ -62,9 +62,8 @@
 	}
 	got := make(map[string]*answerCounts)
 	var mu sync.Mutex
-	serve := func(v answerLoad, n int64) {
+	serve := func(v answerLoad, n int64, c *answerCounts) {
 		began := time.Now()
-		c := got[v.kind]
 		count := func(n *int) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -110,12 +109,13 @@
 	}
 	var all sync.WaitGroup
 	for i, v := range loads {
-		got[v.kind] = &answerCounts{}
+		c := &answerCounts{}
+		got[v.kind] = c
 		all.Go(func() {
 			r := rand.New(rand.NewPCG(1, uint64(i)))
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(r.ExpFloat64() * float64(v.every))) {
 				n := min(6*v.bytes, max(1, int64(r.ExpFloat64()*float64(v.bytes))))
-				all.Go(func() { serve(v, n) })
+				all.Go(func() { serve(v, n, c) })
 			}
 		})
 	}
