link, caller: weigh full instances and the goal when one is chosen

Cause: where the best of the compared instances looked full, the request waited there at once, as long as the expected wait was shorter than a quarter of its goal, although an instance of another site or another kind's slow one had free slots. Demand in waves whose phase differs by site then overran some instances while others idled. And since costs were mean times, kinds with little time got slow instances as often as kinds that had time.

Change: the cost of an instance that a report of the last 100 ms shows to be full grows by twice the cost of another site, less with the age of the report; and by the chance that the request misses its goal there (log-logistic, from service time, wait and time left), times the goal. Requests without a goal have no such cost. The service time of a kind over all candidates is taken every 50 ms instead of at each choice, and kinds are found without an interface value.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -327,7 +327,8 @@
 // other, it returns nil and why the last of them was passed over.
 func (h *Handler) choose(l link.Candidates, c *call, now time.Time) (*link.Candidate, hop.Result) {
 	d := h.Worker.Drain()
-	k := l.Choose(now, c.admission.Kind, c.random, c.tried, c.otherSiteCost())
+	q := c.linkRequest(now)
+	k := l.ChooseFor(now, &q, c.random)
 	if k == nil {
 		return nil, hop.Result{}
 	}
@@ -340,19 +341,29 @@
 
 // chooseOther is choose after the first choice was passed over for the reason passed.
 func chooseOther(l link.Candidates, c *call, d contract.Drain, now time.Time, passed hop.Result) (*link.Candidate, hop.Result) {
-	k := l.ChooseIf(now, c.admission.Kind, c.random, c.tried, c.otherSiteCost(), func(k *link.Candidate) bool {
+	q := c.linkRequest(now)
+	q.Usable = func(k *link.Candidate) bool {
 		g := passOver(l, c, k, d, now)
 		if g.Code != 0 {
 			passed = g
 		}
 		return g.Code == 0
-	})
-	if k != nil {
+	}
+	if k := l.ChooseFor(now, &q, c.random); k != nil {
 		return k, hop.Result{}
 	}
 	return nil, passed
 }
 
+// linkRequest describes the next attempt of the call at now.
+func (c *call) linkRequest(now time.Time) link.Request {
+	q := link.Request{Kind: c.admission.Kind, Far: c.otherSiteCost(), Tried: c.tried}
+	if g := c.admission.Goal; !g.IsZero() {
+		q.Goal = g.Sub(now)
+	}
+	return q
+}
+
 // passOver returns why the candidate k is not tried at now while this daemon drains by
 // d, or a zero Result if it is.
 func passOver(l link.Candidates, c *call, k *link.Candidate, d contract.Drain, now time.Time) hop.Result {
--- a/link/choose.go
+++ b/link/choose.go
@@ -28,6 +28,14 @@
 	// meanCandidatesMax bounds the candidates over which the mean service time of
 	// a kind is taken.
 	meanCandidatesMax = 8
+	// lateCostGoals is the cost of a request that misses its latency target, as a
+	// multiple of the target: a slow instance then gets the kinds that have time, and
+	// the fast ones are left to those that have none.
+	lateCostGoals = 1
+	// fullCostFactor is the cost of a full instance, as a multiple of the cost of
+	// another site. It is above 1, so that no request waits at this site while another
+	// one has a free slot: it would delay all that come after it.
+	fullCostFactor = 2
 	// occupancyCostShare is the share of its service time that is added to the
 	// cost of an instance when all its slots are taken and no request waits.
 	occupancyCostShare = 0.25
@@ -67,37 +75,76 @@
 	return c.Peer.Load(now) < c.Slots && c.Peer.rateWait(instantOf(now)) == 0
 }
 
-// cost returns the expected time of a request of the kind at the instance: the
-// wait for a slot, estimated from the service time of all kinds, or for the rate
-// limit, whichever is longer, and the service time of this kind. It adds a share of
-// the latter for occupied slots, far for an instance at another site, and
-// ejectedCost for one that is ejected or unresponsive. The less is known of the
-// service time of this kind, the more mean replaces it. With the service time of
-// all kinds in its place, an instance that runs mostly short requests would look
-// fast for long ones.
-func (c *Candidate) cost(now instant, kind string, mean, far time.Duration) time.Duration {
-	h := weightedMean(mean)(c.Peer.kindServiceTime(kind, now))
+// cost returns the expected time of a request at the instance: the wait for a slot,
+// estimated from the service time of all kinds, or for the rate limit, whichever is
+// longer, and the service time of its kind. It adds lateCost, a share of the service
+// time for occupied slots, fullCost, q.Far for an instance at another site, and
+// ejectedCost for one that is ejected or unresponsive. The less is known of the service
+// time of this kind, the more mean replaces it. With the service time of all kinds in
+// its place, an instance that runs mostly short requests would look fast for long ones.
+func (c *Candidate) cost(now instant, q *Request, mean time.Duration, avoided bool) time.Duration {
+	h := weightedMean(mean)(c.Peer.kindServiceTime(q.Kind, now))
 	slots := float64(max(1, c.Slots))
 	load := c.Peer.expectedLoad(now)
-	d := h + c.wait(now, h)
+	w := c.waitUnder(load, now, h)
+	d := h + w + lateCost(h, q.Goal, w)
 	// Of two instances with free slots, the less loaded one is preferred: its
 	// slots are more likely to be free still.
 	d += time.Duration(float64(h) * min(load, slots) / slots * occupancyCostShare)
+	d += time.Duration(fullCostFactor * float64(q.Far) * fullness(load, slots, c.Peer.reportedAt.age(now)))
 	if !c.isNear() {
-		d += far
+		d += q.Far
 	}
-	if c.Peer.ejected(now) || c.Peer.unresponsive(now) {
+	if avoided {
 		d += ejectedCost
 	}
 	return d
 }
 
+// lateCost returns the cost of the chance that a request with the mean service time h
+// misses the latency target goal after the given wait; 0 without a target.
+func lateCost(h, goal, wait time.Duration) time.Duration {
+	if goal <= 0 {
+		return 0
+	}
+	if wait >= goal {
+		return lateCostGoals * goal
+	}
+	r := float64(h) / float64(goal-wait)
+	return time.Duration(lateCostGoals * float64(goal) * lateChance(r))
+}
+
+// lateChance returns the chance that a request takes longer than the time that it has,
+// of which its mean service time is the share r. Service times have long tails: they are
+// taken as log-logistic, of which half lie below 0.8 of the mean and one in 17 takes twice
+// the mean or longer.
+func lateChance(r float64) float64 {
+	r = r * r * r
+	return r / (r + 2)
+}
+
+// fullness returns how sure it is that an instance with the given slots is full under
+// the given load, from 0 to 1. Only a report whose age is below freshLoadAgeMax counts:
+// an instance seen full some time ago is full no more often than others.
+func fullness(load, slots float64, age time.Duration) float64 {
+	f := min(1, load+1-slots)
+	if f <= 0 || age >= freshLoadAgeMax {
+		return 0
+	}
+	return f * (1 - float64(max(0, age))/float64(freshLoadAgeMax))
+}
+
 // wait returns the time that a request whose service time is h is expected to wait at
 // the instance for a slot or for the rate limit, whichever takes longer.
 func (c *Candidate) wait(now instant, h time.Duration) time.Duration {
+	return c.waitUnder(c.Peer.expectedLoad(now), now, h)
+}
+
+// waitUnder is wait under the given load.
+func (c *Candidate) waitUnder(load float64, now instant, h time.Duration) time.Duration {
 	var wait time.Duration
 	slots := float64(max(1, c.Slots))
-	if n := c.Peer.expectedLoad(now) + 1 - slots; n > 0 {
+	if n := load + 1 - slots; n > 0 {
 		wait = time.Duration(float64(weightedMean(h)(c.Peer.serviceTime(now))) * n / slots)
 	}
 	return max(wait, c.Peer.rateWait(now))
@@ -121,6 +168,8 @@
 type Candidates struct {
 	all  []Candidate
 	near int // number of candidates at this site, which come first in all
+
+	means *kindMeans // nil for no candidates
 }
 
 // NewCandidates returns the candidates of l. It retains l and sorts it in place.
@@ -138,7 +187,7 @@
 	if n < 0 {
 		n = len(l)
 	}
-	return Candidates{all: l, near: n}
+	return Candidates{all: l, near: n, means: &kindMeans{}}
 }
 
 // isNear reports whether the candidate is this daemon's own instance or at its site.
@@ -162,6 +211,21 @@
 	return c.kindServiceTime(kind, instantOf(now))
 }
 
+// cachedServiceTime is kindServiceTime up to kindMeanAgeMax ago.
+func (c Candidates) cachedServiceTime(kind string, now instant) time.Duration {
+	if c.means == nil {
+		return 0
+	}
+	k := c.means.of(kind)
+	if k.takenAt.age(now) < kindMeanAgeMax && k.takenAt.age(now) >= 0 {
+		return time.Duration(k.nanos.Load())
+	}
+	h := c.kindServiceTime(kind, now)
+	k.nanos.Store(int64(h))
+	k.takenAt.set(now)
+	return h
+}
+
 func (c Candidates) kindServiceTime(kind string, now instant) time.Duration {
 	var sum, weight float64
 	n := 0
@@ -180,59 +244,69 @@
 	return time.Duration(sum / weight)
 }
 
-// Choose returns the candidate for the next attempt of a request of the kind at
-// now, or nil if there is none. Candidates named in tried are left out. The cost
-// far is added for a candidate at another site, since bytes between data centres
-// have a price.
-//
-// The candidate with the lowest expected time is chosen, which evens out uneven
-// load between sites and instances of unequal speed. Only comparedMax random
-// candidates of this site and as many of other sites are compared, so that many
-// daemons with the same load reports do not all choose the same one.
+// Request describes a request for which a candidate is chosen.
+type Request struct {
+	Kind  string        // requests of one kind have about the same service time
+	Goal  time.Duration // until its latency target, 0 or less for none that can be met
+	Far   time.Duration // cost of a candidate at another site, since bytes between data centres have a price
+	Tried []string      // names of the candidates that are left out
+	// Usable reports whether a candidate may be chosen; nil if each may.
+	Usable func(k *Candidate) bool
+}
+
+// Choose is ChooseFor for a request without a latency target.
 func (c Candidates) Choose(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration) *Candidate {
-	return c.ChooseIf(now, kind, r, tried, far, func(*Candidate) bool { return true })
+	return c.ChooseFor(now, &Request{Kind: kind, Tried: tried, Far: far}, r)
 }
 
-// ChooseIf is like Choose, but leaves out the candidates for which usable returns false.
-func (c Candidates) ChooseIf(now time.Time, kind string, r *rand.Rand, tried []string, far time.Duration, usable func(k *Candidate) bool) *Candidate {
-	b := choice{now: instantOf(now), kind: kind, far: far, tried: tried, mean: serviceTimeDefault}
-	if h := c.kindServiceTime(kind, b.now); h > 0 {
+// ChooseFor returns the candidate for the next attempt of the request q at now, or nil
+// if there is none.
+//
+// The candidate with the lowest cost is chosen, which evens out uneven load between
+// sites and instances of unequal speed. Only comparedMax random candidates of this site
+// and as many of other sites are compared, so that many daemons with the same load
+// reports do not all choose the same one.
+func (c Candidates) ChooseFor(now time.Time, q *Request, r *rand.Rand) *Candidate {
+	b := choice{now: instantOf(now), mean: serviceTimeDefault}
+	if h := c.cachedServiceTime(q.Kind, b.now); h > 0 {
 		b.mean = time.Duration(unknownTimeFactor * float64(h))
 	}
-	b.scan(c.all[:c.near], r, usable)
-	b.scan(c.all[c.near:], r, usable)
+	b.scan(c.all[:c.near], q, r)
+	b.scan(c.all[c.near:], q, r)
 	return b.candidate
 }
 
-// choice holds the parameters of a choice and the candidate with the lowest cost
-// so far.
+// choice is the state of a choice: the candidate with the lowest cost so far.
 type choice struct {
 	now       instant
-	kind      string
-	mean, far time.Duration
-	tried     []string
+	mean      time.Duration
 	candidate *Candidate
 	cost      time.Duration
 }
 
-// scan compares up to comparedMax usable candidates of l, starting at a random one.
-func (b *choice) scan(l []Candidate, r *rand.Rand, usable func(k *Candidate) bool) {
+// scan compares up to comparedMax candidates of l that q may use, starting at a random one.
+func (b *choice) scan(l []Candidate, q *Request, r *rand.Rand) {
 	n := len(l)
 	if n == 0 {
 		return
 	}
 	first, compared := r.IntN(n), 0
 	for i := range n {
-		k := &l[(first+i)%n]
-		if slices.Contains(b.tried, k.Name) || !usable(k) {
+		j := first + i
+		if j >= n {
+			j -= n
+		}
+		k := &l[j]
+		if slices.Contains(q.Tried, k.Name) || q.Usable != nil && !q.Usable(k) {
 			continue
 		}
-		if d := k.cost(b.now, b.kind, b.mean, b.far); b.candidate == nil || d < b.cost {
+		avoided := k.Peer.ejected(b.now) || k.Peer.unresponsive(b.now)
+		if d := k.cost(b.now, q, b.mean, avoided); b.candidate == nil || d < b.cost {
 			b.candidate, b.cost = k, d
 		}
 		// An ejected or unresponsive candidate does not count towards
 		// comparedMax, so that it is chosen only if there is no other.
-		if k.Peer.ejected(b.now) || k.Peer.unresponsive(b.now) {
+		if avoided {
 			continue
 		}
 		if compared++; compared == comparedMax {
--- a/link/moment.go
+++ b/link/moment.go
@@ -21,8 +21,10 @@
 type Moment struct{ nanos atomic.Int64 }
 
 // Set sets the moment to t.
-func (m *Moment) Set(t time.Time) {
-	n := int64(instantOf(t))
+func (m *Moment) Set(t time.Time) { m.set(instantOf(t)) }
+
+func (m *Moment) set(t instant) {
+	n := int64(t)
 	if n == 0 {
 		n = 1 // 0 stands for a moment that was never set
 	}
--- a/link/peer.go
+++ b/link/peer.go
@@ -4,7 +4,6 @@
 	"math"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -138,7 +137,7 @@
 	rateLimitMilli    atomic.Int64 // last reported rate limit of the worker, in thousandths of a request per second; 0 for none
 	admittedFrom      Moment       // when the rate limit is expected to admit the next request
 	ejectedUntil      Moment
-	kinds             sync.Map // of *kindStats, by kind of request
+	kinds             kindMap[kindStats]
 
 	Transit Transit // of this daemon's requests to the instance
 }
@@ -230,12 +229,9 @@
 		p.serviceNanos.Store(int64(l.Hold))
 	}
 	if l.Work > 0 {
-		v, ok := p.kinds.Load(kind)
-		if !ok {
-			v, _ = p.kinds.LoadOrStore(kind, &kindStats{})
-		}
-		v.(*kindStats).meanNanos.Store(int64(l.Work))
-		v.(*kindStats).reportedAt.Set(now)
+		k := p.kinds.of(kind)
+		k.meanNanos.Store(int64(l.Work))
+		k.reportedAt.Set(now)
 	}
 }
 
@@ -284,11 +280,10 @@
 }
 
 func (p *Peer) kindServiceTime(kind string, now instant) (mean time.Duration, weight float64) {
-	v, ok := p.kinds.Load(kind)
-	if !ok {
+	k := p.kinds.get(kind)
+	if k == nil {
 		return 0, 0
 	}
-	k := v.(*kindStats)
 	return timeAndWeight(time.Duration(k.meanNanos.Load()), k.reportedAt.age(now))
 }
 
