link: look up the service times of a kind once for all candidates

Cause: each cost that a choice computes looked up the kind in a map of the peer, and the mean over the candidates was taken anew by up to eight such lookups.

Change: a table by kind, shared by the candidates, keeps the mean for 50 ms and where each candidate has its service time. Divisions by constants are products, and the chance of a late answer takes one division.

--- a/link/choose.go
+++ b/link/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -82,16 +83,20 @@
 // ejectedCost for one that is ejected or unresponsive. The less is known of the service
 // time of this kind, the more mean replaces it. With the service time of all kinds in
 // its place, an instance that runs mostly short requests would look fast for long ones.
-func (c *Candidate) cost(now instant, q *Request, mean time.Duration, avoided bool) time.Duration {
-	h := weightedMean(mean)(c.Peer.kindServiceTime(q.Kind, now))
+func (c *Candidate) cost(now instant, q *Request, s *kindStats, mean time.Duration, avoided bool) time.Duration {
+	h := weightedMean(mean)(s.serviceTime(now))
 	slots := float64(max(1, c.Slots))
-	load := c.Peer.expectedLoad(now)
-	w := c.waitUnder(load, now, h)
+	age := c.Peer.reportedAt.age(now)
+	load := c.Peer.expectedLoadAt(age)
+	var w time.Duration
+	if load+1 > slots || c.Peer.rateLimitMilli.Load() != 0 {
+		w = c.waitUnder(load, now, h)
+	}
 	d := h + w + lateCost(h, q.Goal, w)
 	// Of two instances with free slots, the less loaded one is preferred: its
 	// slots are more likely to be free still.
 	d += time.Duration(float64(h) * min(load, slots) / slots * occupancyCostShare)
-	d += time.Duration(fullCostFactor * float64(q.Far) * fullness(load, slots, c.Peer.reportedAt.age(now)))
+	d += time.Duration(fullCostFactor * float64(q.Far) * fullness(load, slots, age))
 	if !c.isNear() {
 		d += q.Far
 	}
@@ -110,17 +115,15 @@
 	if wait >= goal {
 		return lateCostGoals * goal
 	}
-	r := float64(h) / float64(goal-wait)
-	return time.Duration(lateCostGoals * float64(goal) * lateChance(r))
+	return time.Duration(lateCostGoals * float64(goal) * lateChance(float64(h), float64(goal-wait)))
 }
 
-// lateChance returns the chance that a request takes longer than the time that it has,
-// of which its mean service time is the share r. Service times have long tails: they are
-// taken as log-logistic, of which half lie below 0.8 of the mean and one in 17 takes twice
-// the mean or longer.
-func lateChance(r float64) float64 {
-	r = r * r * r
-	return r / (r + 2)
+// lateChance returns the chance that a request takes longer than the time left. Service
+// times have long tails: they are taken as log-logistic, of which half lie below 0.8 of
+// the mean and one in 17 takes twice the mean or longer.
+func lateChance(mean, left float64) float64 {
+	m := mean * mean * mean
+	return m / (m + 2*left*left*left)
 }
 
 // fullness returns how sure it is that an instance with the given slots is full under
@@ -131,7 +134,7 @@
 	if f <= 0 || age >= freshLoadAgeMax {
 		return 0
 	}
-	return f * (1 - float64(max(0, age))/float64(freshLoadAgeMax))
+	return f * (1 - float64(max(0, age))*(1/float64(freshLoadAgeMax)))
 }
 
 // wait returns the time that a request whose service time is h is expected to wait at
@@ -169,7 +172,7 @@
 	all  []Candidate
 	near int // number of candidates at this site, which come first in all
 
-	means *kindMeans // nil for no candidates
+	tables *kindMap[kindTable] // nil for no candidates
 }
 
 // NewCandidates returns the candidates of l. It retains l and sorts it in place.
@@ -187,7 +190,7 @@
 	if n < 0 {
 		n = len(l)
 	}
-	return Candidates{all: l, near: n, means: &kindMeans{}}
+	return Candidates{all: l, near: n, tables: &kindMap[kindTable]{}}
 }
 
 // isNear reports whether the candidate is this daemon's own instance or at its site.
@@ -211,19 +214,16 @@
 	return c.kindServiceTime(kind, instantOf(now))
 }
 
-// cachedServiceTime is kindServiceTime up to kindMeanAgeMax ago.
-func (c Candidates) cachedServiceTime(kind string, now instant) time.Duration {
-	if c.means == nil {
-		return 0
+// table returns the table of the kind, taken up to kindTableAgeMax ago; c must not be
+// empty.
+func (c Candidates) table(kind string, now instant) *kindTable {
+	t := c.tables.of(kind)
+	if a := t.takenAt.age(now); a >= 0 && a < kindTableAgeMax {
+		return t
 	}
-	k := c.means.of(kind)
-	if k.takenAt.age(now) < kindMeanAgeMax && k.takenAt.age(now) >= 0 {
-		return time.Duration(k.nanos.Load())
-	}
-	h := c.kindServiceTime(kind, now)
-	k.nanos.Store(int64(h))
-	k.takenAt.set(now)
-	return h
+	t.nanos.Store(int64(c.kindServiceTime(kind, now)))
+	t.takenAt.set(now)
+	return t
 }
 
 func (c Candidates) kindServiceTime(kind string, now instant) time.Duration {
@@ -267,12 +267,17 @@
 // and as many of other sites are compared, so that many daemons with the same load
 // reports do not all choose the same one.
 func (c Candidates) ChooseFor(now time.Time, q *Request, r *rand.Rand) *Candidate {
+	if len(c.all) == 0 {
+		return nil
+	}
 	b := choice{now: instantOf(now), mean: serviceTimeDefault}
-	if h := c.cachedServiceTime(q.Kind, b.now); h > 0 {
+	t := c.table(q.Kind, b.now)
+	if h := t.nanos.Load(); h > 0 {
 		b.mean = time.Duration(unknownTimeFactor * float64(h))
 	}
-	b.scan(c.all[:c.near], q, r)
-	b.scan(c.all[c.near:], q, r)
+	s := t.statsOf(len(c.all))
+	b.scan(c.all[:c.near], s[:c.near], q, r)
+	b.scan(c.all[c.near:], s[c.near:], q, r)
 	return b.candidate
 }
 
@@ -284,8 +289,9 @@
 	cost      time.Duration
 }
 
-// scan compares up to comparedMax candidates of l that q may use, starting at a random one.
-func (b *choice) scan(l []Candidate, q *Request, r *rand.Rand) {
+// scan compares up to comparedMax candidates of l that q may use, starting at a random one;
+// s holds their statistics of the request's kind.
+func (b *choice) scan(l []Candidate, s []atomic.Pointer[kindStats], q *Request, r *rand.Rand) {
 	n := len(l)
 	if n == 0 {
 		return
@@ -301,7 +307,7 @@
 			continue
 		}
 		avoided := k.Peer.ejected(b.now) || k.Peer.unresponsive(b.now)
-		if d := k.cost(b.now, q, b.mean, avoided); b.candidate == nil || d < b.cost {
+		if d := k.cost(b.now, q, knownStats(&s[j], k, q.Kind), b.mean, avoided); b.candidate == nil || d < b.cost {
 			b.candidate, b.cost = k, d
 		}
 		// An ejected or unresponsive candidate does not count towards
--- a/link/kinds.go
+++ b/link/kinds.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// kindMeanAgeMax is how long the mean service time of a kind over the candidates is
-// used again. It stands in for times that are unknown, and moves slowly.
-const kindMeanAgeMax = 50 * time.Millisecond
+// kindTableAgeMax is how long a kindTable is used again. It is short beside the times
+// between the reports of an instance.
+const kindTableAgeMax = 50 * time.Millisecond
 
 // kindMap maps kinds of requests to values of V that are created at the first use. A
 // lookup takes no lock and hashes once; kinds are few and rarely new. The zero value is
@@ -46,11 +46,34 @@
 	return n[kind]
 }
 
-// kindMean is the mean service time of a kind over the candidates, 0 if it is unknown.
-type kindMean struct {
+// kindTable holds what candidates have of one kind: the mean service time over all of
+// them, 0 if it is unknown, and where each one keeps its own.
+type kindTable struct {
 	nanos   atomic.Int64
 	takenAt Moment
+	stats   atomic.Pointer[[]atomic.Pointer[kindStats]] // by position of the candidate; filled as they are known
 }
 
-// kindMeans holds the means by kind.
-type kindMeans = kindMap[kindMean]
+// statsOf returns the statistics of the kind at the candidates.
+func (t *kindTable) statsOf(n int) []atomic.Pointer[kindStats] {
+	if s := t.stats.Load(); s != nil {
+		return *s
+	}
+	s := make([]atomic.Pointer[kindStats], n)
+	if !t.stats.CompareAndSwap(nil, &s) {
+		return *t.stats.Load()
+	}
+	return s
+}
+
+// knownStats returns the statistics of the kind at k, nil if it has none. It remembers
+// them in s.
+func knownStats(s *atomic.Pointer[kindStats], k *Candidate, kind string) *kindStats {
+	v := s.Load()
+	if v == nil {
+		if v = k.Peer.kinds.get(kind); v != nil {
+			s.Store(v)
+		}
+	}
+	return v
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -258,15 +258,17 @@
 // weight moves from the last report to the mean load. Without the mean load, every
 // instance without a recent report would look empty, and in a large fleet all
 // daemons would choose the fastest instances.
-func (p *Peer) expectedLoad(now instant) float64 {
+func (p *Peer) expectedLoad(now instant) float64 { return p.expectedLoadAt(p.reportedAt.age(now)) }
+
+// expectedLoadAt is expectedLoad when the last report has the given age.
+func (p *Peer) expectedLoadAt(age time.Duration) float64 {
 	own := float64(p.ownInFlight.Load())
-	age := p.reportedAt.age(now)
 	if age >= meanLoadAgeMax {
 		return own
 	}
-	n := float64(p.meanInFlightMilli.Load()) / milliPerRequest * (1 - float64(age)/float64(meanLoadAgeMax))
+	n := float64(p.meanInFlightMilli.Load()) * (1.0 / milliPerRequest) * (1 - float64(age)*(1/float64(meanLoadAgeMax)))
 	if age < loadAgeMax {
-		w := 1 - float64(age)/float64(loadAgeMax)
+		w := 1 - float64(age)*(1/float64(loadAgeMax))
 		n = w*float64(p.reportedInFlight.Load()) + (1-w)*n
 	}
 	return max(own, n)
@@ -280,7 +282,11 @@
 }
 
 func (p *Peer) kindServiceTime(kind string, now instant) (mean time.Duration, weight float64) {
-	k := p.kinds.get(kind)
+	return p.kinds.get(kind).serviceTime(now)
+}
+
+// serviceTime returns the service time and its weight at now. Both are 0 for nil.
+func (k *kindStats) serviceTime(now instant) (mean time.Duration, weight float64) {
 	if k == nil {
 		return 0, 0
 	}
@@ -299,7 +305,7 @@
 	if age >= serviceTimeAgeMax || t == 0 {
 		return 0, 0
 	}
-	return t, 1 - float64(max(0, age))/float64(serviceTimeAgeMax)
+	return t, 1 - float64(max(0, age))*(1/float64(serviceTimeAgeMax))
 }
 
 // Eject ejects the instance until the time t: it is chosen only if there is no
