upstream, caller: spend less of the goal on offers to full links

Cause: a rejection waits behind the answers on the link of the instance that sends it.

Change: NoWait does not count for the link. Parts are 16 KB and keep the link busy for 40 ms instead of 60, so that small answers wait less. A request that was rejected is offered to no further daemon once that has taken a quarter of its goal.

Weighed: an eighth of the goal, after which a request that one slow daemon rejected gets no second offer; fewer offers in any case, which loses those that quick rejections still find a slot for.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -314,7 +314,7 @@
 		}
 		c.tried = append(c.tried, k.Name)
 		f = c.recordAttempt(h.attempt(x, w, r, c, k, !mayWait))
-		if f.OK() || f.Begun || x.Err() != nil || !h.mayRetry(c, f, b, l) || f.Code == result.Overloaded && waitOffers >= waitOffersMax {
+		if f.OK() || f.Begun || x.Err() != nil || !h.mayRetry(c, f, b, l) || f.Code == result.Overloaded && (waitOffers >= waitOffersMax || c.offersEnd(h.Now())) {
 			return f
 		}
 	}
--- /dev/null
+++ b/caller/offer_test.go
@@ -0,0 +1,73 @@
+package caller_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"figwheel/caller"
+	"figwheel/link"
+	"figwheel/result"
+	"figwheel/site"
+)
+
+// TestSlowRejectionsEndOffers guards against requests that spend most of the time to their
+// goals on offers to one full daemon after the other, each of which rejects them late, and
+// against giving up after quick rejections, when another daemon may still have room.
+func TestSlowRejectionsEndOffers(t *testing.T) {
+	const rejecting = 6
+	for _, v := range []struct {
+		delay       time.Duration // of a rejection
+		least, most int64         // offers
+	}{
+		{0, 4, 8},
+		{150 * time.Millisecond, 1, 2}, // a quarter of the goal is 250 ms
+	} {
+		t.Run(v.delay.String(), func(t *testing.T) {
+			var offers atomic.Int64
+			var l []link.Candidate
+			for i := range rejecting {
+				a := listen(t, func(c net.Conn) {
+					b := make([]byte, 4<<10)
+					for {
+						if _, err := c.Read(b); err != nil {
+							return
+						}
+						offers.Add(1)
+						time.Sleep(v.delay)
+						_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nFigwheel-Load: 9 100000 100000\r\nFigwheel-Code: "+result.Overloaded.String()+"\r\nFigwheel-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+					}
+				})
+				l = append(l, link.Candidate{Name: strconv.Itoa(i), Address: a, Slots: 10, SameSite: true, Peer: &link.Peer{}})
+			}
+			e := newNode(t)
+			e.view.Store(caller.NewView(goalSnapshot(t), map[string]link.Candidates{"s": link.NewCandidates(l)}))
+			g := send(t, request(t, e, http.MethodGet, "/", nil))
+			if g.Status != http.StatusServiceUnavailable || g.Code != result.Overloaded.String() {
+				t.Errorf("got %+v, want 503 %s", g, result.Overloaded)
+			}
+			if n := offers.Load(); n < v.least || n > v.most {
+				t.Errorf("%d offers, want %d to %d", n, v.least, v.most)
+			}
+		})
+	}
+}
+
+// goalSnapshot returns a snapshot whose route has a goal of a second.
+func goalSnapshot(t testing.TB) *site.Snapshot {
+	t.Helper()
+	c := site.Table{
+		Number:   7,
+		Services: []site.Service{{Name: "s", Connections: 10}},
+		Routes:   []site.Route{{Name: "r", Host: "h.example", PathPrefix: "/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 4 * time.Second, Goal: time.Second}},
+	}
+	s, err := c.Snapshot("a", 7, "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -37,8 +37,9 @@
 	HoldBack bool
 	// Before is called with the response headers before they are sent; may be nil.
 	Before func(h http.Header)
-	// BeforePart is called before each part of the response body is sent. It has n bytes,
-	// of rest that are still to be sent, which is -1 if their number is not known. The
+	// BeforePart is called before each part of the response body is sent, whose size is at
+	// most partBytesMax. It has n bytes, of rest that are still to be sent, which is -1 if
+	// their number is not known. The
 	// function may wait for its turn on a link; if it returns a code other than 0, the
 	// response ends. It may be nil.
 	BeforePart func(n int, rest int64) result.Code
@@ -84,6 +85,10 @@
 	return Result{Code: c, Text: text}
 }
 
+// partBytesMax is the size, in bytes, of the parts of a response for which BeforePart is
+// called. A thin link is busy with one for some 10 ms.
+const partBytesMax = 16 << 10
+
 // staleConnsMax bounds the idle connections to an address that may turn out to be
 // closed before a request fails. They are all closed at once when the other side
 // restarts.
@@ -197,7 +202,7 @@
 	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
-	if c := h.beforePart(n, restOf(r, p)); c != 0 {
+	if c := h.beforePart(min(n, partBytesMax), restOf(r, p)); c != 0 {
 		return unknown(c, "the answer was not sent: "+c.Name())
 	}
 	f.Begun = true
@@ -375,28 +380,34 @@
 var bufferPool = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
 // copyBody copies the body of p to w, of which the first n bytes are already in k, and
-// err is the error of their read. BeforePart has been called for these. It flushes a body of unknown length as it arrives,
+// err is the error of their read. BeforePart has been called for the first part. It flushes a body of unknown length as it arrives,
 // since its sender may wait for the caller to react to it. The head of a response is
 // flushed with the first bytes: what it says of the time is of their arrival.
 func (h Hop) copyBody(w http.ResponseWriter, p *http.Response, k *[bufferBytes]byte, n int, err error) error {
 	c := http.NewResponseController(w)
-	sent := int64(0)
-	for first := true; ; first = false {
-		if n > 0 {
-			if !first {
-				if c := h.beforePart(n, max(-1, p.ContentLength-sent)); c != 0 {
+	sent, isPassed := int64(0), n > 0
+	for {
+		for b := k[:n]; len(b) > 0; {
+			m := len(b)
+			if h.BeforePart != nil {
+				m = min(m, partBytesMax)
+			}
+			if !isPassed {
+				if c := h.beforePart(m, max(-1, p.ContentLength-sent)); c != 0 {
 					return result.New(c, "the rest of the answer was not sent")
 				}
 			}
-			sent += int64(n)
-			if _, err := w.Write(k[:n]); err != nil {
+			isPassed = false
+			if _, err := w.Write(b[:m]); err != nil {
 				return err
 			}
-			if p.ContentLength < 0 || first && int64(n) < p.ContentLength {
+			if p.ContentLength < 0 || sent == 0 && int64(m) < p.ContentLength {
 				if err := c.Flush(); err != nil {
 					return err
 				}
 			}
+			sent += int64(m)
+			b = b[m:]
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/upstream/gate_answer.go
+++ b/upstream/gate_answer.go
@@ -18,7 +18,7 @@
 	// when a part of a large one is added. Small answers and the calls of the worker
 	// wait behind them on the link, and some of those have 300 ms. A daemon that is
 	// short of processor time must still come back before the link is idle.
-	answerBacklogMax = 60 * time.Millisecond
+	answerBacklogMax = 40 * time.Millisecond
 	// answerLinkShare is the share of the link's capacity that answers get. The rest
 	// is for the requests that this daemon sends and for the framing of packets.
 	answerLinkShare = 0.9
@@ -127,10 +127,11 @@
 
 // rejectsAnswer reports whether q, which is expected to get a slot after the time wait
 // and to hold it for the time service, is rejected on arrival for want of room on the
-// link: because another instance may have room, or because its answer would be sent
-// too late, by the same reasoning as for slots, see rejects. It answers a load that
-// fills the link while slots are free: as many large answers as the link carries then
-// arrive in time, and not all of them late.
+// link: its answer would be sent too late, by the same reasoning as for slots, see
+// rejects. It answers a load that fills the link while slots are free: as many large
+// answers as the link carries then arrive in time, and not all of them late. NoWait does
+// not count: the rejection itself waits behind the answers on the link, so that it costs
+// the caller more time than it can gain elsewhere.
 func (g *Gate) rejectsAnswer(q AdmissionRequest, wait, service time.Duration, now time.Time) bool {
 	o := &g.outlet
 	if q.Answer == nil || o.bytesPerSecond <= 0 {
@@ -142,7 +143,7 @@
 		return false // the link carries the other answers meanwhile
 	}
 	t := free + o.transferTime(n)
-	if q.NoWait || !q.Deadline.IsZero() && now.Add(t).After(q.Deadline) {
+	if !q.Deadline.IsZero() && now.Add(t).After(q.Deadline) {
 		return true
 	}
 	return !q.Goal.IsZero() && float64(t) > goalShare*float64(q.Goal.Sub(now))
--- a/upstream/gate_answer_test.go
+++ b/upstream/gate_answer_test.go
@@ -54,7 +54,7 @@
 // playAnswers sends the requests of loads through a gate, whose instance has the link l,
 // for the time d. The gate knows the capacity of the link if known is set.
 func playAnswers(t *testing.T, l *thinLink, loads []answerLoad, known bool, d time.Duration) map[string]*answerCounts {
-	const partBytes = 32 << 10
+	const partBytes = 16 << 10
 	g := &upstream.Gate{}
 	g.SetLimits(18, 72, time.Now())
 	if known {
