caller, metric: count offers by result and the age of load reports

An operator could not see whether load is even: a request that three full instances rejected before a fourth took it looked like any other, and how old the knowledge is that requests are placed by was told nowhere.

Counted per daemon, not per instance: names of instances come and go, and their number is not bounded.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -85,6 +85,7 @@
 	Transport http.RoundTripper // to other daemons
 	Record    Recorder          // may be nil
 	Quota     Quota             // of client accounts; nil for none
+	Offers    *Offers           // counts offers; may be nil
 	Now       func() time.Time
 	Random    *sync.Pool       // of *rand.Rand
 	Headers   contract.Headers // names of the headers that callers use
@@ -313,7 +314,10 @@
 			waitOffers++
 		}
 		c.tried = append(c.tried, k.Name)
-		f = c.recordAttempt(h.attempt(x, w, r, c, k, !mayWait))
+		h.Offers.begin(k, now)
+		f = h.attempt(x, w, r, c, k, !mayWait)
+		h.Offers.end(f)
+		f = c.recordAttempt(f)
 		if f.OK() || f.Begun || x.Err() != nil || !h.mayRetry(c, f, b, l) || f.Code == result.Overloaded && waitOffers >= waitOffersMax {
 			return f
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,7 @@
 	draining           atomic.Bool                         // callers should use another daemon
 	activatedAt        atomic.Pointer[time.Time]           // when the served version came into force here, nil before the first
 	cuts               atomic.Int64                        // connections that were cut, see recordCut
+	offers             caller.Offers                       // of requests to instances, see metric.Gauges
 	latestConfirmation atomic.Pointer[change.Confirmation] // nil before the first
 	notReadyAnswers    atomic.Int64                        // count of answers that the daemon is not ready
 	requests           chan func(*control)                 // run on the control goroutine
@@ -134,6 +135,11 @@
 		Sent:         d.worker.Sent,
 		Cuts:         d.cuts.Load,
 		RateLimit:    d.worker.RateLimit,
+
+		OffersAnswered: d.offers.Answered,
+		OffersFull:     d.offers.Full,
+		OffersFailed:   d.offers.Failed,
+		ReportAge:      d.offers.ReportAge,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -218,6 +218,7 @@
 		Worker:           &d.worker,
 		Transport:        t,
 		Record:           recorder{d},
+		Offers:           &d.offers,
 		Now:              d.now,
 		Random:           d.randomPool(),
 		Headers:          e,
--- a/link/peer.go
+++ b/link/peer.go
@@ -235,6 +235,10 @@
 	}
 }
 
+// ReportAge returns the age of the last load report at now; without a report it is the
+// longest duration.
+func (p *Peer) ReportAge(now time.Time) time.Duration { return p.reportedAt.Age(now) }
+
 // Load returns the number of requests in flight at the instance at now, estimated
 // from this daemon's own requests and the last report. The weight of the report
 // falls with its age, so that an instance that was once full gets requests again.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -31,6 +31,11 @@
 	Sent         func() int64 // requests sent to the worker since the start
 	Cuts         func() int64 // connections of callers that ended under a request since the start
 
+	OffersAnswered func() int64   // requests offered to an instance that its worker answered, since the start
+	OffersFull     func() int64   // requests offered to an instance that was full, since the start
+	OffersFailed   func() int64   // requests offered to an instance that ended otherwise, since the start
+	ReportAge      func() float64 // mean age of the load reports of the instances chosen, in seconds
+
 	RateLimit func() float64 // requests per second that the worker takes, 0 if it states no limit
 }
 
@@ -89,6 +94,20 @@
 			return nil
 		}))
 	e.Add(err)
+	_, err = m.Float64ObservableGauge("figwheel.load_report.age", otel.WithUnit("s"), otel.WithDescription("mean age of the load reports of the instances chosen"),
+		otel.WithFloat64Callback(func(_ context.Context, o otel.Float64Observer) error {
+			o.Observe(g.ReportAge())
+			return nil
+		}))
+	e.Add(err)
+	_, err = m.Int64ObservableCounter("figwheel.offers", otel.WithDescription("requests offered to an instance, by result"),
+		otel.WithInt64Callback(func(_ context.Context, o otel.Int64Observer) error {
+			o.Observe(g.OffersAnswered(), otel.WithAttributes(attribute.String("result", "answered")))
+			o.Observe(g.OffersFull(), otel.WithAttributes(attribute.String("result", "full")))
+			o.Observe(g.OffersFailed(), otel.WithAttributes(attribute.String("result", "failed")))
+			return nil
+		}))
+	e.Add(err)
 	return e.Err()
 }
 
