--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -225,6 +225,7 @@
 		Transport:        t,
 		Record:           recorder{d},
 		Quota:            d.quotas.node,
+		Offers:           &d.offers,
 		Now:              d.now,
 		Random:           d.randomPool(),
 		Headers:          e,
