hop: take no status outside 200 to 599 for an answer

Cause: another system handed a worker's status 000 to a client. Raw workers and raw daemons that answered with odd statuses showed what a caller gets here. Below 200 (000, 0, 00, 0200, 099, +20, -12, 2e2, none, 1xx alone and 101) it was 502 without a seal already, over both hops.

The protocol knows final statuses 200 to 599; anything else is no answer, so the outcome is unknown: 502, and the connection takes no further request. A statement in such bytes that the request was not run is not believed, since the caller would take 503 for a promise. Answers between daemons are checked for id and seal as those of workers are. Proper rare statuses (226, 299, 399, 599) still pass.

TestLargeBodySentOnlyAfterContinue let its stand-in daemon answer the id a1 to a request without an id, which no daemon does; its request has the id now, and all its checks are as before.

--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -114,6 +114,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			r.Header.Set("Figwheel-Attempt-Id", "a1")
 			w := &plainWriter{header: http.Header{}}
 			b := hop.NewBody(w, r)
 			if err := b.Load(x); err != nil {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -44,6 +44,13 @@
 	Now func() time.Time
 }
 
+// statusMax is the highest status of a response in HTTP.
+const statusMax = 599
+
+// IsAnswer reports whether a response with the status answers a request. net/http also
+// returns responses with other statuses: 101, those below 100 and those above 599.
+func IsAnswer(status int) bool { return status >= http.StatusOK && status <= statusMax }
+
 // Field is a header that a hop adds to the request.
 type Field struct{ Name, Value string }
 
@@ -147,8 +154,8 @@
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
 func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
-	if p.StatusCode < http.StatusOK {
-		// It answers no request that is sent here, and net/http panics when it is forwarded.
+	if !IsAnswer(p.StatusCode) {
+		// The bytes answer no request that is sent here, whatever the headers say.
 		return unknown(result.WrongAnswer, "the answer has the status "+strconv.Itoa(p.StatusCode))
 	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
@@ -162,6 +169,9 @@
 			f.Text = "the daemon beside the upstream answered " + c
 			return f
 		}
+		if v := h.checkProof(r, p); !v.OK() {
+			return v
+		}
 	} else {
 		v := h.checkWorker(r, p, s)
 		if v.OK() || v.Code == result.WorkerRefused {
@@ -250,6 +260,21 @@
 		return NotRun(result.WrongInstance, "another worker has the address")
 	case notRun:
 		return NotRun(result.WorkerRefused, "the worker answered "+strconv.Itoa(p.StatusCode)+" and did not run it")
+	}
+	return h.checkProof(r, p)
+}
+
+// checkProof returns a zero Result if the headers of p prove that it is a worker's
+// response to r, which is not encoded. Of the responses of a daemon all but its own
+// failures have that proof.
+func (h Hop) checkProof(r *http.Request, p *http.Response) Result {
+	n := h.Headers
+	if n.RequestID == "" {
+		return Result{}
+	}
+	switch id := p.Header.Get(n.RequestID); {
+	case id != "" && id != r.Header.Get(n.RequestID):
+		return unknown(result.WrongAnswer, "the answer is to the request "+id)
 	case id == "" || p.Header.Get(n.Seal) == "":
 		return unknown(result.WrongAnswer, "the answer "+strconv.Itoa(p.StatusCode)+" bears no proof of the worker")
 	case p.Header.Get("Content-Encoding") != "":
