--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -40,6 +40,17 @@
 	return c
 }
 
+// wholeAnswer reads one answer and returns its body.
+func wholeAnswer(b *bufio.Reader) (string, error) {
+	p, err := http.ReadResponse(b, nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = p.Body.Close() }()
+	d, err := io.ReadAll(p.Body)
+	return string(d), err
+}
+
 // headOf returns a request for the path, which is no more than a head.
 func headOf(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\n\r\n" }
 
@@ -83,12 +94,11 @@
 			b := bufio.NewReader(conn)
 			var answers []string
 			for range 3 {
-				p, err := http.ReadResponse(b, nil)
+				d, err := wholeAnswer(b)
 				if err != nil {
 					t.Fatal(err)
 				}
-				d, _ := io.ReadAll(p.Body)
-				answers = append(answers, string(d))
+				answers = append(answers, d)
 			}
 			if d := cmp.Diff([]string{"/first", "/second", "/third"}, answers); d != "" {
 				t.Errorf("answers (-want +got):\n%s", d)
@@ -190,17 +200,11 @@
 	_, _ = io.WriteString(conn, headOf("/a")+headOf("/b")+headOf("/c"))
 	b := bufio.NewReader(conn)
 	for _, p := range []string{"a", "b"} {
-		r, err := http.ReadResponse(b, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if d, err := io.ReadAll(r.Body); err != nil || string(d) != strings.Repeat(p, size) {
+		if d, err := wholeAnswer(b); err != nil || d != strings.Repeat(p, size) {
 			t.Errorf("answer %s: %d bytes and %v, want %d bytes of it", p, len(d), err, size)
 		}
 	}
-	if r, err := http.ReadResponse(b, nil); err == nil {
-		if d, err := io.ReadAll(r.Body); err == nil {
-			t.Errorf("answer c: %d bytes without an error, want it to break off", len(d))
-		}
+	if d, err := wholeAnswer(b); err == nil {
+		t.Errorf("answer c: %d bytes without an error, want it to break off", len(d))
 	}
 }
