--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -29,6 +29,8 @@
 
 	// demandTime is the time constant of the demand rate.
 	demandTime = 250 * time.Millisecond
+	// demandMin is the demand, in requests per second, that counts as none.
+	demandMin = 0.001
 	// demandDeviations is how many standard deviations of a demand rate, with arrivals by
 	// chance, an account's demand must be above its quota.
 	demandDeviations = 1.5
@@ -170,9 +172,13 @@
 }
 
 func (t *total) decay(now time.Time) {
-	if d := now.Sub(t.demandAt); d > 0 {
-		t.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
-		t.demandAt = now
+	d := now.Sub(t.demandAt)
+	if d <= 0 {
+		return
+	}
+	t.demandAt = now
+	if t.demand *= math.Exp(-d.Seconds() / demandTime.Seconds()); t.demand < demandMin {
+		t.demand = 0
 	}
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -56,8 +56,8 @@
 	known      atomic.Int64 // instances that share the quotas
 	sharesEnd  atomic.Int64 // Unix nanoseconds until which the daemon is not isolated
 	reportedAt atomic.Int64 // Unix nanoseconds of the last report
-	surge      atomic.Pointer[chan struct{}]
-	surged     atomic.Bool // whether surge was signalled since the last report
+	wake       atomic.Pointer[chan struct{}]
+	surged     atomic.Bool // whether a surge was signalled since the last report
 	retryNow   atomic.Bool
 	refused    atomic.Int64
 
@@ -97,13 +97,14 @@
 	localEnd int64 // end of the shares after which local began, in Unix nanoseconds
 }
 
-// Init sets the names under which the limiter reports, and the channel on which it
-// signals a surge of an account at this daemon. The channel must have a buffer.
-func (l *Limiter) Init(from string, incarnation uint64, surge chan struct{}) {
+// Init sets the name and incarnation under which the limiter reports, and the channel on
+// which it signals that a report is due earlier than planned. The channel must have a
+// buffer.
+func (l *Limiter) Init(from string, incarnation uint64, wake chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.from, l.start = from, incarnation
-	l.surge.Store(&surge)
+	l.wake.Store(&wake)
 }
 
 // SetLimits replaces the limits. Accounts that stay keep their counts.
@@ -272,7 +273,7 @@
 
 // signal signals that a message may be due earlier than planned.
 func (l *Limiter) signal() {
-	p := l.surge.Load()
+	p := l.wake.Load()
 	if p == nil {
 		return
 	}
--- a/quota/node.go
+++ b/quota/node.go
@@ -68,11 +68,11 @@
 }
 
 // NewNode returns the node of the named instance of the site, whose daemon started at the
-// incarnation. It signals on the channel surge, which needs a buffer, when Due should be
+// incarnation. It signals on the channel wake, which needs a buffer, when Due should be
 // called before the time that it returned.
-func NewNode(name, site string, incarnation uint64, surge chan struct{}) *Node {
+func NewNode(name, site string, incarnation uint64, wake chan struct{}) *Node {
 	n := &Node{name: name, site: site, incarnation: incarnation, inFlight: make(map[string]bool), isolated: true}
-	n.limiter.Init(name, incarnation, surge)
+	n.limiter.Init(name, incarnation, wake)
 	return n
 }
 
