link: halve the cost of a late answer

A wait that takes the whole time left now counts as a sure miss by itself. A test of its own shows that only fresh news of a full instance sends a request to another site.

--- a/link/choose.go
+++ b/link/choose.go
@@ -31,8 +31,9 @@
 	meanCandidatesMax = 8
 	// lateCostGoals is the cost of a request that misses its latency target, as a
 	// multiple of the target: a slow instance then gets the kinds that have time, and
-	// the fast ones are left to those that have none.
-	lateCostGoals = 1
+	// the fast ones are left to those that have none. It is below 1, since an instance
+	// of another site has a price.
+	lateCostGoals = 0.5
 	// fullCostFactor is the cost of a full instance, as a multiple of the cost of
 	// another site. It is above 1, so that no request waits at this site while another
 	// one has a free slot: it would delay all that come after it.
@@ -112,9 +113,6 @@
 	if goal <= 0 {
 		return 0
 	}
-	if wait >= goal {
-		return lateCostGoals * goal
-	}
 	return time.Duration(lateCostGoals * float64(goal) * lateChance(float64(h), float64(goal-wait)))
 }
 
@@ -122,6 +120,9 @@
 // times have long tails: they are taken as log-logistic, of which half lie below 0.8 of
 // the mean and one in 17 takes twice the mean or longer.
 func lateChance(mean, left float64) float64 {
+	if left <= 0 {
+		return 1
+	}
 	m := mean * mean * mean
 	return m / (m + 2*left*left*left)
 }
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -337,3 +337,37 @@
 		}
 	}
 }
+
+// TestChooseLeavesSiteOnlyOnFreshNewsOfFullInstance guards against requests that queue at
+// their site while another one has free slots, and against old news that sends them away:
+// in a service that is nearly full, most instances were seen full some time ago.
+func TestChooseLeavesSiteOnlyOnFreshNewsOfFullInstance(t *testing.T) {
+	cases := []struct {
+		name string
+		load int // of the instance at this site, in its last report
+		age  time.Duration
+		want string
+	}{
+		{"free slot", 3, 0, "near"},
+		{"just seen full", 4, 0, "far"},
+		{"seen full some time ago", 4, 90 * time.Millisecond, "near"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			peer := func(load int) *link.Peer {
+				p := &link.Peer{}
+				p.Report(link.Load{InFlight: load, Hold: 100 * time.Millisecond, Work: 100 * time.Millisecond}, "k", now)
+				return p
+			}
+			l := link.NewCandidates([]link.Candidate{
+				{Name: "near", Slots: 4, SameSite: true, Peer: peer(c.load)},
+				{Name: "far", Slots: 4, Peer: peer(0)},
+			})
+			q := &link.Request{Kind: "k", Goal: time.Second, Far: 250 * time.Millisecond}
+			k := l.ChooseFor(now.Add(c.age), q, rand.New(rand.NewPCG(1, 1)))
+			if d := cmp.Diff(c.want, k.Name); d != "" {
+				t.Errorf("chosen (-want +got):\n%s", d)
+			}
+		})
+	}
+}
