caller: begin no request ahead whose host net/http rejects

http.ReadRequest, which parses a head that has arrived ahead, does not check the value of Host; the server of net/http does so afterwards and answers 400.

The framer takes only heads of visible ASCII characters, spaces and tabs whose Host has the characters of names and addresses; from any other on, the connection is served one by one, as net/http reads it.

--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -204,3 +206,100 @@
 		}
 	}
 }
+
+// TestRequestWithInvalidHostIsNotServedAhead guards against a request that runs although
+// net/http rejects it when it gets to it: the parser that reads a head ahead does not check
+// the host.
+func TestRequestWithInvalidHostIsNotServedAhead(t *testing.T) {
+	for _, host := range []string{"h x", "h/x", `h"x`, "h\x80", "h<x>", ""} {
+		t.Run(host, func(t *testing.T) {
+			var ahead atomic.Int64
+			release := make(chan struct{})
+			conn := serveAhead(t, 8, func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/a" {
+					<-release
+					return
+				}
+				ahead.Add(1)
+			})
+			_, _ = io.WriteString(conn, headOf("/a")+"GET /b HTTP/1.1\r\nHost: "+host+"\r\n\r\n"+headOf("/c"))
+			time.Sleep(50 * time.Millisecond)
+			n := ahead.Load()
+			close(release)
+			if n != 0 {
+				t.Errorf("%d requests were begun before the first ended, want 0", n)
+			}
+		})
+	}
+}
+
+// TestOddHeadsAreReadAsInTurn guards against two parsers that read the bytes of a
+// connection differently: a request that runs ahead and that net/http does not read, or
+// reads as a part of another one. Each case stands between two requests.
+func TestOddHeadsAreReadAsInTurn(t *testing.T) {
+	odd := map[string]string{
+		"folded header":          "GET /o HTTP/1.1\r\nHost: h\r\nX: y\r\n\tz: w\r\n\r\n",
+		"folded first header":    "GET /o HTTP/1.1\r\n X: y\r\nHost: h\r\n\r\n",
+		"bare CR in value":       "GET /o HTTP/1.1\r\nHost: h\r\nX: y\rContent-Length: 5\r\n\r\n",
+		"CR CR LF":               "GET /o HTTP/1.1\r\nHost: h\r\r\n\r\n",
+		"LF before CR LF":        "GET /o HTTP/1.1\r\nHost: h\n\r\n",
+		"LF alone":               "GET /o HTTP/1.1\nHost: h\n\n",
+		"NUL in value":           "GET /o HTTP/1.1\r\nHost: h\r\nX: \x00\r\n\r\n",
+		"NUL in name":            "GET /o HTTP/1.1\r\nHost: h\r\nContent-Length\x00: 5\r\n\r\n",
+		"VT before name":         "GET /o HTTP/1.1\r\nHost: h\r\n\vContent-Length: 5\r\n\r\n",
+		"space before colon":     "GET /o HTTP/1.1\r\nHost: h\r\nContent-Length : 40\r\n\r\n",
+		"empty name":             "GET /o HTTP/1.1\r\nHost: h\r\n: y\r\n\r\n",
+		"no colon":               "GET /o HTTP/1.1\r\nHost: h\r\nContent-Length\r\n\r\n",
+		"two hosts":              "GET /o HTTP/1.1\r\nHost: h\r\nhost: i\r\n\r\n",
+		"no headers":             "GET /o HTTP/1.1\r\n\r\n",
+		"capital length":         "GET /o HTTP/1.1\r\nHost: h\r\nCONTENT-LENGTH: 40\r\n\r\n",
+		"two lengths":            "GET /o HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\nContent-Length: 0\r\n\r\n",
+		"obfuscated chunks":      "GET /o HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n",
+		"absolute target":        "GET http://i/o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"target of two slashes":  "GET //i/o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"bad percent-encoding":   "GET /o%zz HTTP/1.1\r\nHost: h\r\n\r\n",
+		"encoded line end":       "GET /o%0d%0a%0d%0a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"two protocols":          "GET /o HTTP/1.0 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"two spaces":             "GET /o  HTTP/1.1\r\nHost: h\r\n\r\n",
+		"tab in request line":    "GET /o\tHTTP/1.1 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"HTTP/1.0":               "GET /o HTTP/1.0\r\nHost: h\r\n\r\n",
+		"HTTP/1.0 kept":          "GET /o HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n",
+		"HTTP/0.9":               "GET /o\r\n\r\n",
+		"HTTP/2 preface":         "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"lower-case method":      "get /o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"other method":           "HEAD /o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"empty line before":      "\r\nGET /o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"two empty lines before": "\r\n\r\nGET /o HTTP/1.1\r\nHost: h\r\n\r\n",
+		"upgrade":                "GET /o HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAAP__\r\n\r\n",
+		"letters beyond ASCII":   "GET /ö HTTP/1.1\r\nHost: h\r\nX: ö\r\n\r\n",
+		"POST and empty lines":   "POST /o HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n\r\n",
+		"head within a body":     "POST /o HTTP/1.1\r\nHost: h\r\nContent-Length: 43\r\n\r\n" + headOf("/smuggled"),
+		"head within chunks":     "POST /o HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2b\r\n" + headOf("/smuggled") + "\r\n0\r\n\r\n",
+	}
+	served := func(depth int, sent string) []string {
+		var mu sync.Mutex
+		var paths []string
+		conn := serveAhead(t, depth, func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/a" {
+				time.Sleep(10 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			paths = append(paths, r.URL.Path)
+		})
+		_, _ = io.WriteString(conn, sent)
+		_, _ = io.Copy(io.Discard, conn) // net/http closes after the last request, or the first that it rejects
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Sorted(slices.Values(paths))
+	}
+	for name, o := range odd {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sent := headOf("/a") + o + headOf("/b") + "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+			if d := cmp.Diff(served(0, sent), served(8, sent)); d != "" {
+				t.Errorf("requests that ran (-in turn +ahead):\n%s", d)
+			}
+		})
+	}
+}
--- a/caller/framer.go
+++ b/caller/framer.go
@@ -1,9 +1,6 @@
 package caller
 
-import (
-	"bytes"
-	"strings"
-)
+import "bytes"
 
 // framedHeadBytesMax bounds the head of a request that a framer follows, in bytes.
 const framedHeadBytesMax = 8 << 10
@@ -72,20 +69,58 @@
 // isWholeRequest reports whether the head is that of a request without a body after
 // which the connection goes on, beyond doubt.
 func isWholeRequest(head []byte) bool {
-	text := string(head[:len(head)-len(headEnd)])
-	first, rest, _ := strings.Cut(text, "\r\n")
-	if !strings.HasPrefix(first, "GET /") || !strings.HasSuffix(first, " HTTP/1.1") || strings.ContainsAny(first, "\r\n") {
+	first, rest, _ := bytes.Cut(head[:len(head)-len(headEnd)], lineEnd)
+	if !bytes.HasPrefix(first, []byte("GET /")) || !bytes.HasSuffix(first, []byte(" HTTP/1.1")) || !isPlain(first) {
 		return false
 	}
-	for line := range strings.SplitSeq(rest, "\r\n") {
-		name, _, ok := strings.Cut(line, ":")
-		if !ok || strings.ContainsAny(line, "\r\n") || strings.ContainsAny(name, " \t") {
+	for line := range bytes.SplitSeq(rest, lineEnd) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isPlain(line) || bytes.ContainsAny(name, " \t") {
+			return false
+		}
+		for _, n := range framingHeaders {
+			if bytes.EqualFold(name, n) {
+				return false
+			}
+		}
+		if bytes.EqualFold(name, hostHeader) && !isPlainHost(bytes.Trim(value, " \t")) {
 			return false
 		}
-		switch strings.ToLower(name) {
-		case "content-length", "transfer-encoding", "connection", "upgrade", "expect", "trailer":
+	}
+	return true
+}
+
+var (
+	lineEnd    = []byte("\r\n")
+	hostHeader = []byte("Host")
+	// framingHeaders are the headers that decide whether a request has a body and
+	// whether the connection goes on after it.
+	framingHeaders = [][]byte{
+		[]byte("Content-Length"), []byte("Transfer-Encoding"), []byte("Connection"),
+		[]byte("Upgrade"), []byte("Expect"), []byte("Trailer"),
+	}
+)
+
+// isPlain reports whether the line has only visible ASCII characters, spaces and tabs.
+func isPlain(line []byte) bool {
+	for _, c := range line {
+		if (c < ' ' || c > '~') && c != '\t' {
 			return false
 		}
 	}
 	return true
 }
+
+// isPlainHost reports whether the value of a Host header is a name or an address, with a
+// port or without. net/http rejects some others, but http.ReadRequest takes them.
+func isPlainHost(value []byte) bool {
+	for _, c := range value {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case c == '.', c == '-', c == '_', c == ':', c == '[', c == ']':
+		default:
+			return false
+		}
+	}
+	return len(value) > 0
+}
