upstream: set no timer for a request that waits for a reserve

The gate set a timer for the rate limit whenever a request waited and a slot was free. A request that waits because the free slots are reserved lacks no rate: the time until the limit admits it is 0, so the timer fired at once, ran admit, and was set again, until a request ended. A worker that states a rate limit, with patient work waiting beside urgent calls, kept a processor busy with it.

The timer is now set only if the next request has a slot that it may use. At least one slot is in use otherwise, since a reserve is a sixth of the slots at most, and the end of its request admits the one that waits.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -231,7 +231,7 @@
 		return true
 	})
 	for g.slotsInUse < g.slots && len(g.waiting) > 0 {
-		w := slices.MinFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
+		w := g.first(now)
 		if g.slotsInUse >= g.slotsFor(w.AdmissionRequest, now) || !g.limit.take(now) {
 			break
 		}
@@ -243,10 +243,11 @@
 	g.scheduleWake(now)
 }
 
-// scheduleWake calls admit once the rate limit admits the next request, if waiting
-// requests lack only that.
+// scheduleWake calls admit once the rate limit admits the next request, if that lacks
+// nothing else. One that lacks a slot, or waits because of a reserve, is admitted when
+// another request ends.
 func (g *Gate) scheduleWake(now time.Time) {
-	if g.wake != nil || len(g.waiting) == 0 || g.slotsInUse >= g.slots || g.limit.limiter == nil {
+	if g.wake != nil || len(g.waiting) == 0 || g.limit.limiter == nil || g.slotsInUse >= g.slotsFor(g.first(now).AdmissionRequest, now) {
 		return
 	}
 	began := time.Now()
@@ -262,6 +263,11 @@
 	g.wake = t
 }
 
+// first returns the waiting request that is admitted next; there must be one.
+func (g *Gate) first(now time.Time) *waiter {
+	return slices.MinFunc(g.waiting, func(a, b *waiter) int { return g.compare(a, b, now) })
+}
+
 // remove deletes w from the queue.
 func (g *Gate) remove(w *waiter) {
 	g.waiting = slices.DeleteFunc(g.waiting, func(o *waiter) bool { return o == w })
