upstream: bound the estimated backlog of the link

Small answers do not wait for the link, and each adds to the estimated time for which the link is busy, by nine tenths of the link's capacity. Where they use more than nine tenths, the estimate grew without bound, and outlived the load: large answers, which wait for an idle link, waited until their deadlines, and new requests for them were rejected.

The estimate is now at most 500 ms, or one part if that takes longer. More can be on its way under a real overload of the link by small answers; large answers wait then, too, since the estimate stays above what they wait for. An estimate from the sockets was not considered: it tells of one connection at a time.

TestBacklogEndsWithTheLoad: ten minutes of small answers that fill the link, then a large one. It waited 2m46.6s before and less than 1 s now.

--- a/upstream/gate_answer.go
+++ b/upstream/gate_answer.go
@@ -22,6 +22,10 @@
 	// answerLinkShare is the share of the link's capacity that answers get. The rest
 	// is for the requests that this daemon sends and for the framing of packets.
 	answerLinkShare = 0.9
+	// answerBacklogLimit bounds the estimate of how long the answers sent so far keep the
+	// link busy. Small answers do not wait, so that the errors of answerLinkShare and
+	// answerHeadBytes would add up without it, and large answers wait for an idle link.
+	answerBacklogLimit = 500 * time.Millisecond
 	// answerHeadBytes is what the head of an answer adds to its size, about.
 	answerHeadBytes = 300
 )
@@ -75,7 +79,7 @@
 	}
 	a.sent += n
 	o.expect(a, a.expected-n)
-	o.busyUntil = now.Add(o.backlog(now) + d)
+	o.busyUntil = now.Add(max(d, min(o.backlog(now)+d, answerBacklogLimit)))
 }
 
 // untilRoom returns the time until the link takes n more bytes of large answers. An
