--- a/caller/offer.go
+++ b/caller/offer.go
@@ -2,15 +2,21 @@
 
 import "time"
 
-// offersGoalShare is the share of its goal after which a request that was rejected for
-// want of room is offered to no further daemon. Where a rejection takes long, the next
-// ones do too: daemons are short of processor time, or their links are full. What is left
-// is worth more to the caller for its own retry.
-const offersGoalShare = 0.25
+const (
+	// offersGoalShare is the share of its goal after which a request that was rejected
+	// for want of room is offered to no further daemon. Where a rejection takes long, the
+	// next ones do too: daemons are short of processor time, or their links are full. What
+	// is left is worth more to the caller for its own retry.
+	offersGoalShare = 0.25
+	// offersTimeMin is the least of that time. Short goals are those of calls that running
+	// requests make: nobody retries them, and the request fails with them.
+	offersTimeMin = 250 * time.Millisecond
+)
 
 // offersEnd reports whether the offers of c that were rejected until now have taken too
 // long for another one.
 func (c *call) offersEnd(now time.Time) bool {
 	a := c.admission
-	return !a.Goal.IsZero() && now.Sub(a.Arrived) > time.Duration(offersGoalShare*float64(a.Goal.Sub(a.Arrived)))
+	limit := max(offersTimeMin, time.Duration(offersGoalShare*float64(a.Goal.Sub(a.Arrived))))
+	return !a.Goal.IsZero() && now.Sub(a.Arrived) > limit
 }
--- a/caller/offer_test.go
+++ b/caller/offer_test.go
@@ -17,17 +17,20 @@
 
 // TestSlowRejectionsEndOffers guards against requests that spend most of the time to their
 // goals on offers to one full daemon after the other, each of which rejects them late, and
-// against giving up after quick rejections, when another daemon may still have room.
+// against giving up after quick rejections, when another daemon may still have room, or on
+// calls with short goals, with which the requests that make them fail.
 func TestSlowRejectionsEndOffers(t *testing.T) {
 	const rejecting = 6
 	for _, v := range []struct {
-		delay       time.Duration // of a rejection
+		name        string
+		goal, delay time.Duration // delay of a rejection
 		least, most int64         // offers
 	}{
-		{0, 4, 8},
-		{150 * time.Millisecond, 1, 2}, // a quarter of the goal is 250 ms
+		{"quick", time.Second, 0, 4, 8},
+		{"slow", time.Second, 150 * time.Millisecond, 1, 2}, // a quarter of the goal is 250 ms
+		{"slow, a short goal", 300 * time.Millisecond, 90 * time.Millisecond, 3, 8},
 	} {
-		t.Run(v.delay.String(), func(t *testing.T) {
+		t.Run(v.name, func(t *testing.T) {
 			var offers atomic.Int64
 			var l []link.Candidate
 			for i := range rejecting {
@@ -45,7 +48,7 @@
 				l = append(l, link.Candidate{Name: strconv.Itoa(i), Address: a, Slots: 10, SameSite: true, Peer: &link.Peer{}})
 			}
 			e := newNode(t)
-			e.view.Store(caller.NewView(goalSnapshot(t), map[string]link.Candidates{"s": link.NewCandidates(l)}))
+			e.view.Store(caller.NewView(goalSnapshot(t, v.goal), map[string]link.Candidates{"s": link.NewCandidates(l)}))
 			g := send(t, request(t, e, http.MethodGet, "/", nil))
 			if g.Status != http.StatusServiceUnavailable || g.Code != result.Overloaded.String() {
 				t.Errorf("got %+v, want 503 %s", g, result.Overloaded)
@@ -57,13 +60,13 @@
 	}
 }
 
-// goalSnapshot returns a snapshot whose route has a goal of a second.
-func goalSnapshot(t testing.TB) *site.Snapshot {
+// goalSnapshot returns a snapshot whose route has the goal.
+func goalSnapshot(t testing.TB, goal time.Duration) *site.Snapshot {
 	t.Helper()
 	c := site.Table{
 		Number:   7,
 		Services: []site.Service{{Name: "s", Connections: 10}},
-		Routes:   []site.Route{{Name: "r", Host: "h.example", PathPrefix: "/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 4 * time.Second, Goal: time.Second}},
+		Routes:   []site.Route{{Name: "r", Host: "h.example", PathPrefix: "/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 4 * time.Second, Goal: goal}},
 	}
 	s, err := c.Snapshot("a", 7, "c")
 	if err != nil {
