--- a/link/choose.go
+++ b/link/choose.go
@@ -80,8 +80,8 @@
 // cost returns the expected time of a request at the instance: the wait for a slot,
 // estimated from the service time of all kinds, or for the rate limit, whichever is
 // longer, and the service time of its kind. It adds lateCost, a share of the service
-// time for occupied slots, fullCost, q.Far for an instance at another site, and
-// ejectedCost for one that is ejected or unresponsive. The less is known of the service
+// time for occupied slots, the cost of a full instance, q.Far for an instance at another
+// site, and ejectedCost for one that is ejected or unresponsive. The less is known of the service
 // time of this kind, the more mean replaces it. With the service time of all kinds in
 // its place, an instance that runs mostly short requests would look fast for long ones.
 func (c *Candidate) cost(now instant, q *Request, s *kindStats, mean time.Duration, avoided bool) time.Duration {
--- a/link/kinds.go
+++ b/link/kinds.go
@@ -54,7 +54,8 @@
 	stats   atomic.Pointer[[]atomic.Pointer[kindStats]] // by position of the candidate; filled as they are known
 }
 
-// statsOf returns the statistics of the kind at the candidates.
+// statsOf returns the places for the statistics of the kind at each of n candidates, which
+// knownStats fills.
 func (t *kindTable) statsOf(n int) []atomic.Pointer[kindStats] {
 	if s := t.stats.Load(); s != nil {
 		return *s
