figwheel: check a configuration before it is sent

Not built: fetching a managed configuration from a daemon, which gives out only submitted files so far.

--- a/cmd/figwheel/files.go
+++ b/cmd/figwheel/files.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// optionalFilesOf is filesOf for a command that can do without a base file.
+func optionalFilesOf(c *kingpin.CmdClause) files {
+	return files{
+		base:     c.Arg("base", "The base file.").String(),
+		overlays: c.Arg("overlays", "The overlays: one file per site, or a directory of them.").Strings(),
+	}
+}
+
 // bundle reads the files. Each is named by the last element of its path, so that
 // equal files give equal content from whichever directory they are submitted.
 func (f files) bundle() (site.Bundle, error) {
--- a/cmd/figwheel/main_test.go
+++ b/cmd/figwheel/main_test.go
@@ -129,6 +129,7 @@
 		{"submit --daemon D --change c1 " + good, exitOK, `InForce +version 1`},
 		{"submit --daemon D " + good, exitOK, `Unchanged`},
 		{"submit --daemon D " + bad, exitRefused, `FW1008(.*\n)+.*FW1008`},
+		{"check --daemon D " + good + " " + overlay, exitOK, `no problems\n(.*\n)*site b, on version 1:\n  \+ Services.s.Queue +7`},
 		{"diff --daemon D " + good + " " + overlay, exitOK, `site b, on version 1:\n  \+ Services.s.Queue +7`},
 		{"submit --daemon D --change c2 --as hung --on 1 --reason queue --json " + good + " " + overlay, exitOK, `"Step":"InForce"`},
 		{"submit --daemon D --on 1 " + more, exitConflict, `FW2002: version 2 of change c2 is in force`},
--- a/cmd/figwheel/offline.go
+++ b/cmd/figwheel/offline.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -16,31 +15,6 @@
 	"figwheel/site"
 )
 
-func checkCommand(a *kingpin.Application) command {
-	c := a.Command("check", "Check a base file and overlays without a daemon, and show every problem with its file, line and column.")
-	s := c.Flag("site", "Show the merged configuration of this site, with the source file of each value.").String()
-	j := c.Flag("json", "Print one JSON object.").Bool()
-	f := filesOf(c)
-	return command{c.FullCommand(), func(_ context.Context, o io.Writer) error {
-		g, err := f.readAndCheck(o, *j)
-		if err != nil {
-			return err
-		}
-		if *s != "" && !g.Has(*s) {
-			return result.New(result.UnknownSite, "the base lists no site %s; sites are %s", *s, strings.Join(g.Sites(), ", "))
-		}
-		if *j {
-			return writeJSON(o, struct {
-				Organisation string
-				Sites        []string
-				Lines        []site.Line
-			}{g.Organisation(), g.Sites(), g.Lines(*s)})
-		}
-		_, _ = fmt.Fprintf(o, "%s: %d sites (%s), no problems\n", g.Organisation(), len(g.Sites()), strings.Join(g.Sites(), ", "))
-		return showLines(o, "", g.Lines(*s))
-	}}
-}
-
 // showProblems prints the problems and returns an exitError.
 func showProblems(o io.Writer, asJSON bool, p []site.Problem) error {
 	if asJSON {
