caller: answer ahead as in turn where a handler writes little

The writer of a request that is served ahead dropped the headers of a handler that returned without a write, and took an informational status for the final one: a 404 after 103 arrived as 200. TestAnswerServedAheadIsAsServedInTurn compares both ways of serving over seven kinds of answer and failed in these two. The handlers of today write neither; the writer is there for any handler.

The status is now written without the lock of the answer, so that a panic of net/http about it cannot leave the handler waiting for that lock.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -190,6 +190,9 @@
 		p := recover() // the handler panics if it cannot complete the answer, and has logged any other panic
 		a.mu.Lock()
 		defer a.mu.Unlock()
+		if p == nil {
+			a.writeHeader(http.StatusOK) // as net/http does when the handler has written nothing
+		}
 		a.ended, a.aborted = true, p != nil
 		a.changed.Broadcast()
 	}()
@@ -222,9 +225,10 @@
 	a.writeHeader(status)
 }
 
-// writeHeader is WriteHeader with a.mu held.
+// writeHeader is WriteHeader with a.mu held. Informational statuses, which callers need not
+// get, are left out.
 func (a *aheadAnswer) writeHeader(status int) {
-	if a.sent != nil {
+	if a.sent != nil || status < http.StatusOK {
 		return
 	}
 	a.sent, a.status = a.header.Clone(), status
@@ -261,14 +265,14 @@
 		for len(a.body) == 0 && !a.ended && (started || a.sent == nil) {
 			a.changed.Wait()
 		}
-		b, ended := a.body, a.ended
+		b, ended, sent := a.body, a.ended, a.sent
 		a.body = nil
 		a.changed.Broadcast()
-		if !started && a.sent != nil {
-			maps.Copy(w.Header(), a.sent)
+		a.mu.Unlock()
+		if !started && sent != nil {
+			maps.Copy(w.Header(), sent)
 			w.WriteHeader(a.status)
 		}
-		a.mu.Unlock()
 		if len(b) > 0 {
 			if _, err := w.Write(b); err != nil {
 				a.fail(err)
