--- /dev/null
+++ b/caller/aheadload_test.go
@@ -0,0 +1,149 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestPipelinedAnswersStayWholeAndInOrder guards against answers that are mixed, out of
+// order or cut and look complete, and against goroutines that outlive their connection,
+// over random handlers: quick and slow, short and long, with and without a length, that
+// panic, and callers that send in pieces, do not read for a while or leave.
+func TestPipelinedAnswersStayWholeAndInOrder(t *testing.T) {
+	before := runtime.NumGoroutine()
+	t.Run("load", func(t *testing.T) {
+		var running atomic.Int64
+		conn := serveAhead(t, 4, func(w http.ResponseWriter, r *http.Request) {
+			running.Add(1)
+			defer running.Add(-1)
+			var id, ms, kb, mode int
+			_, _ = fmt.Sscanf(r.URL.Path, "/%d/%d/%d/%d", &id, &ms, &kb, &mode)
+			select {
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-time.After(time.Duration(ms) * time.Millisecond):
+			}
+			if mode == 1 {
+				w.Header().Set("Content-Length", fmt.Sprint(kb<<10))
+			}
+			for i := range kb {
+				if mode == 2 && i == kb/2 {
+					panic(http.ErrAbortHandler)
+				}
+				if _, err := io.WriteString(w, strings.Repeat(fmt.Sprintf("%08d", id), 128)); err != nil {
+					panic(http.ErrAbortHandler)
+				}
+			}
+		})
+		address := conn.RemoteAddr().String()
+		var g sync.WaitGroup
+		for seed := range uint64(60) {
+			g.Go(func() { sendPipelined(t, address, rand.New(rand.NewPCG(seed, 1))) })
+		}
+		g.Wait()
+		for range 200 {
+			if running.Load() == 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := running.Load(); n != 0 {
+			t.Errorf("%d handlers run after their callers have left", n)
+		}
+	})
+	n := runtime.NumGoroutine()
+	for range 200 {
+		if n <= before {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+		n = runtime.NumGoroutine()
+	}
+	if n > before {
+		t.Errorf("%d goroutines run, %d before", n, before)
+	}
+}
+
+// sendPipelined sends random requests on one connection and checks the answers.
+func sendPipelined(t *testing.T, address string, n *rand.Rand) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	type request struct{ kb, mode int }
+	l := make([]request, 1+n.IntN(20))
+	var sent strings.Builder
+	for i := range l {
+		l[i] = request{n.IntN(4) * n.IntN(60), n.IntN(2)}
+		if n.IntN(40) == 0 {
+			l[i].mode = 2
+		}
+		p := fmt.Sprintf("/%d/%d/%d/%d", i, n.IntN(2)*n.IntN(20), l[i].kb, l[i].mode)
+		if n.IntN(8) == 0 {
+			p = strings.Replace(p, "/", "/0", 1) // another head length
+		}
+		sent.WriteString(headOf(p))
+	}
+	leave := n.IntN(5) == 0
+	pieces := n.IntN(2) == 0
+	seed := n.Uint64()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k := rand.New(rand.NewPCG(seed, 2))
+		s := sent.String()
+		for s != "" {
+			m := len(s)
+			if pieces {
+				m = min(m, 1+k.IntN(90))
+				time.Sleep(time.Duration(k.IntN(2)) * time.Millisecond)
+			}
+			if _, err := io.WriteString(conn, s[:m]); err != nil {
+				return
+			}
+			s = s[m:]
+		}
+	}()
+	defer func() { <-done }()
+	defer func() { _ = conn.Close() }()
+	b := bufio.NewReader(conn)
+	for i, q := range l {
+		if leave && n.IntN(3) == 0 {
+			return
+		}
+		time.Sleep(time.Duration(n.IntN(4)*n.IntN(10)) * time.Millisecond)
+		p, err := http.ReadResponse(b, nil)
+		if err != nil {
+			if q.mode != 2 {
+				t.Errorf("answer %d: %v", i, err)
+			}
+			return
+		}
+		d, err := io.ReadAll(p.Body)
+		if q.mode == 2 {
+			if err == nil && q.kb > 0 {
+				t.Errorf("answer %d: complete with %d bytes, want it to break off", i, len(d))
+			}
+			if q.kb > 0 {
+				return
+			}
+		}
+		if want := strings.Repeat(fmt.Sprintf("%08d", i), 128*q.kb); err != nil || string(d) != want {
+			t.Errorf("answer %d: %d bytes and %v, want %d bytes of it", i, len(d), err, len(want))
+			return
+		}
+	}
+}
