caller: bound the answers that wait on all connections

Each answer that was begun ahead could keep 64 KB, and 63 of them a connection, without a bound over connections: 80 connections with 7 answers of 60 KB behind a slow one kept 34 MB (TestAnswersAheadOfAllConnectionsAreBounded), and a daemon has thousands of connections on machines of 184 MB. All of them now keep 16 MB together, as the bytes read ahead do. At the bound nothing more is begun ahead, and a worker's answer is read on only when its turn has come, so that the first answer of each connection always gets on. A write that waits for the total is woken at its turn alone: waking the others would need a list of all.

Weighed: to count only at the begin, which doesn't bound what is running already; to drop answers and serve again, which costs workers a second run.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -10,12 +10,21 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// aheadBytesMax bounds the bytes of an answer that wait for the answers before it. The
-// worker has to hold back the rest.
-const aheadBytesMax = 64 << 10
+const (
+	// aheadBytesMax bounds the bytes of an answer that wait for the answers before it. The
+	// worker has to hold back the rest.
+	aheadBytesMax = 64 << 10
+	// aheadBytesTotalMax bounds the bytes of all answers that wait so. At the bound, nothing
+	// more is begun ahead, and only answers whose turn has come take further bytes.
+	aheadBytesTotalMax = 16 << 20
+)
+
+// aheadBytes is the number of bytes that the answers of all connections keep.
+var aheadBytes atomic.Int64
 
 // Ahead lets a connection serve requests that a caller sends before earlier ones have
 // been answered. net/http serves the requests of a connection one after the other, so
@@ -70,7 +79,7 @@
 
 // begin begins to serve the request with the given head, or returns nil.
 func (p *pipeline) begin(c *Connection, head []byte) *aheadAnswer {
-	if p.waiting > 0 || p.begun()+1 >= p.config.Depth {
+	if p.waiting > 0 || p.begun()+1 >= p.config.Depth || aheadBytes.Load() >= aheadBytesTotalMax {
 		return nil
 	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -174,7 +183,8 @@
 	header   http.Header
 	sent     http.Header // header as of WriteHeader, nil before
 	status   int
-	body     []byte // not taken by writeTo yet
+	body     []byte // not taken by writeTo yet; counted in aheadBytes
+	due      bool   // whether the answers before it have been sent
 	ended    bool   // whether the handler has returned
 	aborted  bool   // whether it could not complete the answer
 	writeErr error  // of the connection
@@ -206,14 +216,7 @@
 }
 
 // wake ends a write that waits, after the context of the request has ended.
-func (a *aheadAnswer) wake() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.writeErr == nil {
-		a.writeErr = errAheadEnded
-	}
-	a.changed.Broadcast()
-}
+func (a *aheadAnswer) wake() { a.fail(errAheadEnded) }
 
 // Header implements http.ResponseWriter.
 func (a *aheadAnswer) Header() http.Header { return a.header }
@@ -235,18 +238,25 @@
 	a.changed.Broadcast()
 }
 
-// Write implements http.ResponseWriter. It waits while aheadBytesMax are kept.
+// isFull reports whether a write has to wait. a.mu is held.
+func (a *aheadAnswer) isFull() bool {
+	return len(a.body) >= aheadBytesMax || !a.due && aheadBytes.Load() >= aheadBytesTotalMax
+}
+
+// Write implements http.ResponseWriter. It waits while aheadBytesMax are kept, or
+// aheadBytesTotalMax by all answers.
 func (a *aheadAnswer) Write(b []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.writeHeader(http.StatusOK)
-	for len(a.body) >= aheadBytesMax && a.writeErr == nil {
+	for a.isFull() && a.writeErr == nil {
 		a.changed.Wait()
 	}
 	if a.writeErr != nil {
 		return 0, a.writeErr
 	}
 	a.body = append(a.body, b...)
+	aheadBytes.Add(int64(len(b)))
 	a.changed.Broadcast()
 	return len(b), nil
 }
@@ -259,14 +269,18 @@
 // the answer.
 func (a *aheadAnswer) writeTo(w http.ResponseWriter) {
 	defer a.cancel()
+	defer a.release()
 	c := http.NewResponseController(w)
 	for started := false; ; started = true {
 		a.mu.Lock()
+		a.due = true
+		a.changed.Broadcast()
 		for len(a.body) == 0 && !a.ended && (started || a.sent == nil) {
 			a.changed.Wait()
 		}
 		b, ended, sent := a.body, a.ended, a.sent
 		a.body = nil
+		aheadBytes.Add(-int64(len(b)))
 		a.changed.Broadcast()
 		a.mu.Unlock()
 		if !started && sent != nil {
@@ -296,11 +310,22 @@
 	}
 }
 
+// release drops the bytes that are kept and ends the writes of the handler.
+func (a *aheadAnswer) release() {
+	a.fail(errAheadEnded)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	aheadBytes.Add(-int64(len(a.body)))
+	a.body = nil
+}
+
 // fail ends the writes of the handler, as the connection failed with err.
 func (a *aheadAnswer) fail(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.writeErr = err
+	if a.writeErr == nil {
+		a.writeErr = err
+	}
 	a.changed.Broadcast()
 }
 
--- a/caller/aheadload_test.go
+++ b/caller/aheadload_test.go
@@ -147,3 +147,55 @@
 		}
 	}
 }
+
+// TestAnswersAheadOfAllConnectionsAreBounded guards against a daemon that runs out of
+// memory because many callers send many requests whose answers wait for a slow first one.
+func TestAnswersAheadOfAllConnectionsAreBounded(t *testing.T) {
+	const connections, depth, size, bytesMax = 80, 8, 60 << 10, 18 << 20
+	var kept atomic.Int64
+	release := make(chan struct{})
+	conn := serveAhead(t, depth, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-release
+			return
+		}
+		for range size >> 10 {
+			if _, err := w.Write(make([]byte, 1<<10)); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			kept.Add(1 << 10)
+		}
+	})
+	l := []net.Conn{conn}
+	for len(l) < connections {
+		c, err := net.Dial("tcp", conn.RemoteAddr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		l = append(l, c)
+	}
+	for _, c := range l {
+		_, _ = io.WriteString(c, headOf("/first")+strings.Repeat(headOf("/next"), depth-1))
+	}
+	for n := int64(-1); n != kept.Load(); time.Sleep(100 * time.Millisecond) {
+		n = kept.Load()
+	}
+	if n := kept.Load(); n > bytesMax {
+		t.Errorf("%d bytes of answers are kept, want at most %d", n, bytesMax)
+	}
+	close(release)
+	for _, c := range l {
+		b := bufio.NewReader(c)
+		for i := range depth {
+			p, err := http.ReadResponse(b, nil)
+			if err != nil {
+				t.Fatalf("answer %d: %v", i, err)
+			}
+			if n, err := io.Copy(io.Discard, p.Body); err != nil || i > 0 && n != size {
+				t.Errorf("answer %d: %d bytes and %v, want %d", i, n, err, size)
+			}
+		}
+	}
+}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -420,6 +420,7 @@
 	c.mu.Unlock()
 	for _, a := range unused {
 		<-a.done
+		a.release()
 	}
 	return err
 }
