caller: allocate next to nothing for callers that wait for answers

BenchmarkUnpipelined measures a kept connection whose caller waits for each answer, with PipelineDepth 0 and 8.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -64,7 +64,7 @@
 	if p.config.Depth < 2 || p.context == nil {
 		return
 	}
-	for _, head := range p.framer.scan(b) {
+	p.framer.scan(b, func(head []byte) {
 		var v arrival
 		if len(p.arrived) > 0 || p.serving { // otherwise net/http is about to read it
 			v.answer = p.begin(c, head)
@@ -74,7 +74,7 @@
 			p.waiting++
 		}
 		p.arrived = append(p.arrived, v)
-	}
+	})
 }
 
 // begin begins to serve the request with the given head, or returns nil.
@@ -114,7 +114,7 @@
 		return nil
 	}
 	v := p.arrived[0]
-	p.arrived = p.arrived[1:]
+	p.arrived = dropFirst(p.arrived, 1)
 	if v.waits {
 		p.waiting--
 	}
--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -21,7 +21,7 @@
 
 // serveAhead starts a server that serves up to depth requests of a connection at the
 // same time, except those of paths that begin with /once, and returns a connection to it.
-func serveAhead(t *testing.T, depth int, f http.HandlerFunc) net.Conn {
+func serveAhead(t testing.TB, depth int, f http.HandlerFunc) net.Conn {
 	t.Helper()
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { caller.ServeAhead(w, r, f) })
 	s := httptest.NewUnstartedServer(h)
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -180,3 +180,26 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkUnpipelined measures what it costs a kept connection that its requests may be
+// served ahead, if its caller waits for each answer.
+func BenchmarkUnpipelined(b *testing.B) {
+	for _, depth := range []int{0, 8} {
+		b.Run(fmt.Sprintf("depth=%d", depth), func(b *testing.B) {
+			conn := serveAhead(b, depth, func(http.ResponseWriter, *http.Request) {})
+			sent := []byte("GET /catalogue/shelf/7 HTTP/1.1\r\nHost: h.example\r\nAccept: */*\r\nUser-Agent: bench\r\n" +
+				"Figwheel-Attempt-Id: 9c41d07be2a35f68\r\nFigwheel-Request-Deadline: 800\r\nFigwheel-Key: 6f1d3ab2c4\r\n\r\n")
+			answer := make([]byte, 4096)
+			_ = conn.SetDeadline(time.Time{})
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conn.Write(sent); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := conn.Read(answer); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/caller/framer.go
+++ b/caller/framer.go
@@ -1,6 +1,9 @@
 package caller
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // framedHeadBytesMax bounds the head of a request that a framer follows, in bytes.
 const framedHeadBytesMax = 8 << 10
@@ -18,10 +21,9 @@
 	ends      []int64 // positions at which the requests that were found end, above delivered
 }
 
-// scan scans the next bytes of the connection and returns the heads of the requests that
-// end in them.
-func (f *framer) scan(b []byte) [][]byte {
-	var heads [][]byte
+// scan scans the next bytes of the connection and calls found with the head of each
+// request that ends in them. The head is valid during the call.
+func (f *framer) scan(b []byte, found func(head []byte)) {
 	for len(b) > 0 && !f.lost {
 		from := max(0, len(f.head)-len(headEnd)+1)
 		f.head = append(f.head, b...)
@@ -38,13 +40,12 @@
 			break
 		}
 		f.ends = append(f.ends, f.scanned)
-		heads = append(heads, bytes.Clone(f.head[:n]))
+		found(f.head[:n])
 		f.head, b = f.head[:0], b[used:]
 	}
 	if f.lost {
 		f.head = nil
 	}
-	return heads
 }
 
 // limit returns how many of the next n bytes net/http may get: not more than the rest of
@@ -59,9 +60,25 @@
 // deliver records that net/http has got n bytes.
 func (f *framer) deliver(n int) {
 	f.delivered += int64(n)
-	for len(f.ends) > 0 && f.ends[0] <= f.delivered {
-		f.ends = f.ends[1:]
+	ended := 0
+	for ended < len(f.ends) && f.ends[ended] <= f.delivered {
+		ended++
+	}
+	f.ends = dropFirst(f.ends, ended)
+}
+
+// dropCapacityMax bounds the elements for which dropFirst keeps the array of an empty
+// slice.
+const dropCapacityMax = 64
+
+// dropFirst removes the first n elements of l. It keeps the array, so that a connection
+// whose caller waits for each answer allocates none for each request.
+func dropFirst[T any](l []T, n int) []T {
+	l = slices.Delete(l, 0, n)
+	if len(l) == 0 && cap(l) > dropCapacityMax {
+		return nil
 	}
+	return l
 }
 
 var headEnd = []byte("\r\n\r\n")
@@ -70,10 +87,12 @@
 // which the connection goes on, beyond doubt.
 func isWholeRequest(head []byte) bool {
 	first, rest, _ := bytes.Cut(head[:len(head)-len(headEnd)], lineEnd)
-	if !bytes.HasPrefix(first, []byte("GET /")) || !bytes.HasSuffix(first, []byte(" HTTP/1.1")) || !isPlain(first) {
+	if !bytes.HasPrefix(first, []byte("GET /")) || !bytes.HasSuffix(first, []byte(" HTTP/1.1")) || !isPlain(first) || len(rest) == 0 {
 		return false
 	}
-	for line := range bytes.SplitSeq(rest, lineEnd) {
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, lineEnd)
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		if !ok || !isPlain(line) || bytes.ContainsAny(name, " \t") {
 			return false
