caller: serve in turn what a caller sends after an answer

net/http goes on reading for a few microseconds after a handler has returned and the answer has left. A request that came then was taken for a pipelined one: it got a goroutine and a buffered answer, although it had nothing to wait for.

A request counts as served until its handler returns, no longer until net/http reads on.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -45,7 +45,7 @@
 	config  Ahead
 	context context.Context // of the requests; nil before net/http serves the connection
 	framer  framer
-	serving bool      // whether net/http serves a request
+	serving bool      // whether net/http serves a request whose handler has not returned
 	arrived []arrival // requests that net/http has not got to, in order
 	waiting int       // those of them that wait for their turn
 	dropped []*aheadAnswer
@@ -159,6 +159,18 @@
 	return c.pipeline.take(r)
 }
 
+// endTurn records that the handler of r is about to return. A request that arrives from
+// now on has at most the end of this answer before it, which may have reached the caller.
+func endTurn(r *http.Request) {
+	c := connectionOf(r)
+	if c == nil || isAhead(r) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipeline.serving = false
+}
+
 // hasAhead reports whether requests behind r are being served: the connection must not
 // be closed before their answers.
 func hasAhead(r *http.Request) bool {
@@ -332,6 +344,7 @@
 // ServeAhead serves r with h, or sends the answer that was begun before net/http got to
 // r. It is for handlers other than a Handler, which does so by itself.
 func ServeAhead(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	defer endTurn(r)
 	if a := takeAhead(r); a != nil {
 		a.writeTo(w)
 		return
--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -303,3 +303,39 @@
 		})
 	}
 }
+
+// TestCallerThatWaitsForAnswersIsServedInTurn guards against the cost of serving ahead for
+// a request that is sent just after the answer before it, when net/http has not yet begun
+// to read it.
+func TestCallerThatWaitsForAnswersIsServedInTurn(t *testing.T) {
+	const calls = 5000
+	var ahead atomic.Int64
+	h := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { caller.ServeAhead(w, r, h) }))
+	s.Listener = caller.Listener{Listener: s.Listener, Ahead: caller.Ahead{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ahead.Add(1) }),
+		May:     func(*http.Request) bool { return true },
+		Depth:   8,
+	}}
+	s.Config.ConnContext = caller.ConnContext
+	s.Start()
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	b := bufio.NewReader(c)
+	for range calls {
+		_, _ = io.WriteString(c, headOf("/a"))
+		p, err := http.ReadResponse(b, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, p.Body)
+	}
+	if n := ahead.Load(); n > 0 {
+		t.Errorf("%d of %d requests were begun ahead, want none", n, calls)
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -112,6 +112,7 @@
 // ServeHTTP implements http.Handler. If the answer is begun and cannot be
 // completed, it panics with http.ErrAbortHandler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer endTurn(r)
 	t := h.Now()
 	v := h.Daemon.View()
 	a := takeAhead(r)
