--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -10,12 +10,21 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// aheadBytesMax bounds the bytes of an answer that wait for the answers before it. The
-// worker has to hold back the rest.
-const aheadBytesMax = 64 << 10
+const (
+	// aheadBytesMax bounds the bytes of an answer that wait for the answers before it. The
+	// worker has to hold back the rest.
+	aheadBytesMax = 64 << 10
+	// aheadBytesTotalMax bounds the bytes of all answers that wait so. At the bound, nothing
+	// more is begun ahead, and only answers whose turn has come take further bytes.
+	aheadBytesTotalMax = 16 << 20
+)
+
+// aheadBytes is the number of bytes that the answers of all connections keep.
+var aheadBytes atomic.Int64
 
 // Ahead lets a connection serve requests that a caller sends before earlier ones have
 // been answered. net/http serves the requests of a connection one after the other, so
@@ -36,7 +45,7 @@
 	config  Ahead
 	context context.Context // of the requests; nil before net/http serves the connection
 	framer  framer
-	serving bool      // whether net/http serves a request
+	serving bool      // whether net/http serves a request whose handler has not returned
 	arrived []arrival // requests that net/http has not got to, in order
 	waiting int       // those of them that wait for their turn
 	dropped []*aheadAnswer
@@ -55,7 +64,7 @@
 	if p.config.Depth < 2 || p.context == nil {
 		return
 	}
-	for _, head := range p.framer.scan(b) {
+	p.framer.scan(b, func(head []byte) {
 		var v arrival
 		if len(p.arrived) > 0 || p.serving { // otherwise net/http is about to read it
 			v.answer = p.begin(c, head)
@@ -65,12 +74,12 @@
 			p.waiting++
 		}
 		p.arrived = append(p.arrived, v)
-	}
+	})
 }
 
 // begin begins to serve the request with the given head, or returns nil.
 func (p *pipeline) begin(c *Connection, head []byte) *aheadAnswer {
-	if p.waiting > 0 || p.begun()+1 >= p.config.Depth {
+	if p.waiting > 0 || p.begun()+1 >= p.config.Depth || aheadBytes.Load() >= aheadBytesTotalMax {
 		return nil
 	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -105,7 +114,7 @@
 		return nil
 	}
 	v := p.arrived[0]
-	p.arrived = p.arrived[1:]
+	p.arrived = dropFirst(p.arrived, 1)
 	if v.waits {
 		p.waiting--
 	}
@@ -150,6 +159,18 @@
 	return c.pipeline.take(r)
 }
 
+// endTurn records that the handler of r is about to return. A request that arrives from
+// now on has at most the end of this answer before it, which may have reached the caller.
+func endTurn(r *http.Request) {
+	c := connectionOf(r)
+	if c == nil || isAhead(r) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipeline.serving = false
+}
+
 // hasAhead reports whether requests behind r are being served: the connection must not
 // be closed before their answers.
 func hasAhead(r *http.Request) bool {
@@ -174,7 +195,8 @@
 	header   http.Header
 	sent     http.Header // header as of WriteHeader, nil before
 	status   int
-	body     []byte // not taken by writeTo yet
+	body     []byte // not taken by writeTo yet; counted in aheadBytes
+	due      bool   // whether the answers before it have been sent
 	ended    bool   // whether the handler has returned
 	aborted  bool   // whether it could not complete the answer
 	writeErr error  // of the connection
@@ -190,6 +212,9 @@
 		p := recover() // the handler panics if it cannot complete the answer, and has logged any other panic
 		a.mu.Lock()
 		defer a.mu.Unlock()
+		if p == nil {
+			a.writeHeader(http.StatusOK) // as net/http does when the handler has written nothing
+		}
 		a.ended, a.aborted = true, p != nil
 		a.changed.Broadcast()
 	}()
@@ -203,14 +228,7 @@
 }
 
 // wake ends a write that waits, after the context of the request has ended.
-func (a *aheadAnswer) wake() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.writeErr == nil {
-		a.writeErr = errAheadEnded
-	}
-	a.changed.Broadcast()
-}
+func (a *aheadAnswer) wake() { a.fail(errAheadEnded) }
 
 // Header implements http.ResponseWriter.
 func (a *aheadAnswer) Header() http.Header { return a.header }
@@ -222,27 +240,35 @@
 	a.writeHeader(status)
 }
 
-// writeHeader is WriteHeader with a.mu held.
+// writeHeader is WriteHeader with a.mu held. Informational statuses, which callers need not
+// get, are left out.
 func (a *aheadAnswer) writeHeader(status int) {
-	if a.sent != nil {
+	if a.sent != nil || status < http.StatusOK {
 		return
 	}
 	a.sent, a.status = a.header.Clone(), status
 	a.changed.Broadcast()
 }
 
-// Write implements http.ResponseWriter. It waits while aheadBytesMax are kept.
+// isFull reports whether a write has to wait. a.mu is held.
+func (a *aheadAnswer) isFull() bool {
+	return len(a.body) >= aheadBytesMax || !a.due && aheadBytes.Load() >= aheadBytesTotalMax
+}
+
+// Write implements http.ResponseWriter. It waits while aheadBytesMax are kept, or
+// aheadBytesTotalMax by all answers.
 func (a *aheadAnswer) Write(b []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.writeHeader(http.StatusOK)
-	for len(a.body) >= aheadBytesMax && a.writeErr == nil {
+	for a.isFull() && a.writeErr == nil {
 		a.changed.Wait()
 	}
 	if a.writeErr != nil {
 		return 0, a.writeErr
 	}
 	a.body = append(a.body, b...)
+	aheadBytes.Add(int64(len(b)))
 	a.changed.Broadcast()
 	return len(b), nil
 }
@@ -255,20 +281,24 @@
 // the answer.
 func (a *aheadAnswer) writeTo(w http.ResponseWriter) {
 	defer a.cancel()
+	defer a.release()
 	c := http.NewResponseController(w)
 	for started := false; ; started = true {
 		a.mu.Lock()
+		a.due = true
+		a.changed.Broadcast()
 		for len(a.body) == 0 && !a.ended && (started || a.sent == nil) {
 			a.changed.Wait()
 		}
-		b, ended := a.body, a.ended
+		b, ended, sent := a.body, a.ended, a.sent
 		a.body = nil
+		aheadBytes.Add(-int64(len(b)))
 		a.changed.Broadcast()
-		if !started && a.sent != nil {
-			maps.Copy(w.Header(), a.sent)
+		a.mu.Unlock()
+		if !started && sent != nil {
+			maps.Copy(w.Header(), sent)
 			w.WriteHeader(a.status)
 		}
-		a.mu.Unlock()
 		if len(b) > 0 {
 			if _, err := w.Write(b); err != nil {
 				a.fail(err)
@@ -292,17 +322,29 @@
 	}
 }
 
+// release drops the bytes that are kept and ends the writes of the handler.
+func (a *aheadAnswer) release() {
+	a.fail(errAheadEnded)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	aheadBytes.Add(-int64(len(a.body)))
+	a.body = nil
+}
+
 // fail ends the writes of the handler, as the connection failed with err.
 func (a *aheadAnswer) fail(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.writeErr = err
+	if a.writeErr == nil {
+		a.writeErr = err
+	}
 	a.changed.Broadcast()
 }
 
 // ServeAhead serves r with h, or sends the answer that was begun before net/http got to
 // r. It is for handlers other than a Handler, which does so by itself.
 func ServeAhead(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	defer endTurn(r)
 	if a := takeAhead(r); a != nil {
 		a.writeTo(w)
 		return
