platform, daemon: recover from an odd era of the store

An answer of an older era than the newest known one is taken for a late one. A single answer with a far too high era, or with two headers of which the first is too high, therefore made every later answer late: the daemon read no configuration and wrote no object until it was restarted.

Only an answer to a request that was sent before the newest era was known can be late. A bound on the rise of an era was weighed: it lets a small error through and needs a guess for the first answer.

The tests of late answers pass unchanged.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -165,11 +165,13 @@
 	}
 	c.listWait = backoff(c.random, c.listWait, listBackoffMin, high)
 	c.nextList = now.Add(c.listWait)
+	sentIn := c.storeEra
 	c.start(func(x context.Context) {
 		l, err := c.d.store.List(x, controlPrefix)
 		_ = c.d.do(x, func(c *control) {
 			c.recordPlatformResult(err)
 			if err == nil {
+				c.doubtEra(l.Era, sentIn)
 				c.mergeListing(l, now)
 			}
 		})
@@ -308,11 +310,17 @@
 // watchOnce lists the control objects and watches them until the watch ends.
 func (d *Daemon) watchOnce(x context.Context) error {
 	t := d.now()
+	var sentIn uint64
+	_ = d.do(x, func(c *control) { sentIn = c.storeEra })
 	l, err := d.store.List(x, controlPrefix)
 	if err != nil {
 		return err
 	}
-	if err := d.do(x, func(c *control) { c.mergeListing(l, t) }); err != nil {
+	err = d.do(x, func(c *control) {
+		c.doubtEra(l.Era, sentIn)
+		c.mergeListing(l, t)
+	})
+	if err != nil {
 		return err
 	}
 	return d.store.Watch(x, controlPrefix, l.Revision, func(e store.Event) error {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -71,13 +71,15 @@
 // it.
 func (d *Daemon) readConfig(x context.Context) error {
 	var before change.Release
-	_ = d.do(x, func(c *control) { before = c.known.Head.InForce })
+	var sentIn uint64
+	_ = d.do(x, func(c *control) { before, sentIn = c.known.Head.InForce, c.storeEra })
 	y, stop := context.WithTimeout(x, configReadTimeout)
 	defer stop()
 	o, err := d.store.Get(y, d.edge.ConfigKey)
 	if err != nil {
 		return err
 	}
+	_ = d.do(x, func(c *control) { c.doubtEra(o.Era, sentIn) })
 	return d.applyConfig(x, o, before)
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -65,6 +65,7 @@
 	polling           bool
 	pollJitter        float64                 // from 0 to 1, drawn for each read
 	storeEra          uint64                  // newest era of the store that is known, 0 if it names none
+	eraDoubts         int                     // answers in a row that show that it was odd, see doubtEra
 	storeAnswered     bool                    // whether the store was read since the start
 	restoredEra       uint64                  // era in which the objects of the daemons were last checked, see restoreObjects
 	configVersion     string                  // version of the configuration object at the last read
--- a/daemon/era.go
+++ b/daemon/era.go
@@ -36,6 +36,27 @@
 	return true
 }
 
+// eraDoubtsMax is the number of answers in a row that show that the newest known era was
+// odd, at which it is given up.
+const eraDoubtsMax = 3
+
+// doubtEra is called before observeEra with the era of an answer to a request that was sent
+// when the newest known era was sentIn. If that still is the newest one, an answer of an
+// older era cannot be late: the store's client has given the newest era up, and so does
+// this daemon after eraDoubtsMax of them. Otherwise no answer would count any more.
+func (c *control) doubtEra(era, sentIn uint64) {
+	if era == 0 || sentIn != c.storeEra {
+		return
+	}
+	if era >= c.storeEra {
+		c.eraDoubts = 0
+		return
+	}
+	if c.eraDoubts++; c.eraDoubts >= eraDoubtsMax {
+		c.eraDoubts, c.storeEra, c.restoredEra = 0, era, era
+	}
+}
+
 // errLate returns the error for an answer of an older era than the newest known one.
 func errLate(key string, era uint64) error {
 	return result.New(result.PlatformUnavailable, "late answer with %s of era %d of the store", key, era)
@@ -90,6 +111,7 @@
 // After a conflict it reads the roster and contacts its instances. A write with restore
 // that fails is tried again after the next listing.
 func (c *control) putRoster(o store.Object, value []byte, restore bool) {
+	sentIn := c.storeEra
 	c.start(func(x context.Context) {
 		p, err := c.d.store.Put(x, o.Key, o.Version, value)
 		if err != nil {
@@ -100,6 +122,7 @@
 			}
 		}
 		_ = c.d.do(x, func(c *control) {
+			c.doubtEra(p.Era, sentIn)
 			c.rosterWritten(o.Key, p, err)
 			if restore && err != nil && result.CodeOf(err) != result.VersionConflict && c.restoredEra > 0 {
 				c.restoredEra--
--- a/daemon/era_test.go
+++ b/daemon/era_test.go
@@ -235,3 +235,14 @@
 		t.Error(err)
 	}
 }
+
+// TestOddEraDelaysNoConfigurationForGood guards against daemons that take every later
+// answer of the store for a late one after it named a far too high era for a moment.
+func TestOddEraDelaysNoConfigurationForGood(t *testing.T) {
+	m := newRestorableFleet(t, 2)
+	m.store.SetEra(1 << 40)
+	m.waitReadSince(3)
+	m.store.SetEra(1)
+	m.overwrite(2)
+	m.waitServing(2)
+}
