hop: reject answers with a status above 599

An answer of a worker with the status 600 to 999 and its proof passed both hops to the caller, as one below 200 did earlier; with the header of a refusal it was even taken as proof that the request had not run. HTTP has no such status, so that no caller knows what it says.

It is now an answer that belongs to no request, like one below 200: a request that may run twice goes to another worker, another one is answered 502, which does not say that it has not run. Passing it on as 500 was weighed and left: the bytes may be anything.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -155,11 +155,15 @@
 	return f, false
 }
 
+// statusMax is the highest status of HTTP.
+const statusMax = 599
+
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
 func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
-	if p.StatusCode < http.StatusOK {
-		// It answers no request that is sent here, and net/http panics when it is forwarded.
+	if p.StatusCode < http.StatusOK || p.StatusCode > statusMax {
+		// It answers no request that is sent here. net/http panics when one below 100 is
+		// forwarded, and HTTP has none above statusMax.
 		return unknown(result.WrongAnswer, "the answer has the status "+strconv.Itoa(p.StatusCode))
 	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
