link: bound the load and the kinds kept of an instance

A load report with a huge number of requests in flight overflowed the mean load, so that the instance looked empty, and the expected wait. Reports of more than 1<<20 requests are now ignored as malformed.

An instance's service times were kept for each route that any configuration had while it was known. Past 1024 kinds, those of further ones are not kept: for them instances are compared by the mean of the others. Evicting old kinds was weighed; candidates hold pointers to the statistics, which would then never be updated.

--- a/link/kinds.go
+++ b/link/kinds.go
@@ -11,9 +11,13 @@
 // between the reports of an instance.
 const kindTableAgeMax = 50 * time.Millisecond
 
+// kindsMax bounds the kinds in a kindMap. An instance outlives many configurations, each of
+// which may have routes of its own.
+const kindsMax = 1024
+
 // kindMap maps kinds of requests to values of V that are created at the first use. A
-// lookup takes no lock and hashes once; kinds are few and rarely new. The zero value is
-// ready to use and safe for concurrent use.
+// lookup takes no lock and hashes once; kinds are few and rarely new. Of kinds beyond
+// kindsMax nothing is kept. The zero value is ready to use and safe for concurrent use.
 type kindMap[V any] struct {
 	values  atomic.Pointer[map[string]*V] // immutable
 	writing sync.Mutex
@@ -27,7 +31,8 @@
 	return nil
 }
 
-// of returns the value of the kind, which it creates at the first use.
+// of returns the value of the kind, which it creates at the first use, or one that is not
+// kept if there are kindsMax others.
 func (m *kindMap[V]) of(kind string) *V {
 	if v := m.get(kind); v != nil {
 		return v
@@ -37,6 +42,9 @@
 	if v := m.get(kind); v != nil {
 		return v
 	}
+	if v := m.values.Load(); v != nil && len(*v) >= kindsMax {
+		return new(V)
+	}
 	n := make(map[string]*V)
 	if v := m.values.Load(); v != nil {
 		maps.Copy(n, *v)
--- a/link/peer.go
+++ b/link/peer.go
@@ -67,12 +67,12 @@
 func appendField(b []byte, n int64) []byte { return strconv.AppendInt(append(b, ' '), n, 10) }
 
 // ParseLoad parses a load in the format of Load.String and reports whether s holds
-// one. A service time, rate limit, wait or time taken that is missing or malformed
-// becomes 0.
+// one of up to inFlightMax requests. A service time, rate limit, wait or time taken that is
+// missing or malformed becomes 0.
 func ParseLoad(s string) (Load, bool) {
 	a, rest, _ := strings.Cut(s, " ")
 	n, err := strconv.Atoi(a)
-	if err != nil || n < 0 {
+	if err != nil || n < 0 || n > inFlightMax {
 		return Load{}, false
 	}
 	b, rest, _ := strings.Cut(rest, " ")
@@ -88,6 +88,10 @@
 	return l, true
 }
 
+// inFlightMax bounds the requests in flight that are accepted from an instance. Their
+// service times together fit into a time.Duration.
+const inFlightMax = 1 << 20
+
 // rateLimitMax bounds the rate limits that are accepted from an instance, in
 // requests per second.
 const rateLimitMax = 1e6
