caller: count only rejections against the time for offers

A request is offered to no further daemon once a quarter of its goal has passed since it arrived. That counted the time in which its body arrived, and that of an attempt at a worker that failed: such a request was rejected as overloaded after one offer without a wait, although another daemon might have had room. Uploads over slow connections and second attempts fared worst.

The time of the offers that were rejected for want of room is now added up and compared with the quarter. TestSlowRejectionsEndOffers, whose daemons moved into a function that both tests use, passes with the same bounds.

TestSlowBodyLeavesOffers: a body that arrives in 350 ms, with a goal of 1 s, was offered once before and gets at least 4 offers.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -100,6 +100,7 @@
 	random         *rand.Rand
 	progress       *progress
 	tried          []string      // instances that are not tried again
+	rejectedFor    time.Duration // that the offers took which were rejected for want of room
 	workersReached int           // attempts that may have reached a worker and after which a retry was considered
 	repeatable     bool          // whether the request may run more than once
 	mayHaveRun     bool          // whether an attempt ended without proof that the request did not run
@@ -322,7 +323,10 @@
 		}
 		c.tried = append(c.tried, k.Name)
 		f = c.recordAttempt(h.attempt(x, w, r, c, k, !mayWait))
-		if f.OK() || f.Begun || x.Err() != nil || !h.mayRetry(c, f, b, l) || f.Code == result.Overloaded && (waitOffers >= waitOffersMax || c.offersEnd(h.Now())) {
+		if f.Code == result.Overloaded {
+			c.rejectedFor += h.Now().Sub(now)
+		}
+		if f.OK() || f.Begun || x.Err() != nil || !h.mayRetry(c, f, b, l) || f.Code == result.Overloaded && (waitOffers >= waitOffersMax || c.offersEnd()) {
 			return f
 		}
 	}
--- a/caller/offer.go
+++ b/caller/offer.go
@@ -2,15 +2,16 @@
 
 import "time"
 
-// offersGoalShare is the share of its goal after which a request that was rejected for
-// want of room is offered to no further daemon. Where a rejection takes long, the next
-// ones do too: daemons are short of processor time, or their links are full. What is left
-// is worth more to the caller for its own retry.
+// offersGoalShare is the share of its goal that a request may spend on offers which are
+// rejected for want of room. Where a rejection takes long, the next ones do too: daemons are
+// short of processor time, or their links are full. What is left is worth more to the caller
+// for its own retry.
 const offersGoalShare = 0.25
 
 // offersEnd reports whether the offers of c that were rejected until now have taken too
-// long for another one.
-func (c *call) offersEnd(now time.Time) bool {
+// long for another one. The time in which its body arrived, or in which a worker failed,
+// does not count: it tells nothing about the next daemon.
+func (c *call) offersEnd() bool {
 	a := c.admission
-	return !a.Goal.IsZero() && now.Sub(a.Arrived) > time.Duration(offersGoalShare*float64(a.Goal.Sub(a.Arrived)))
+	return !a.Goal.IsZero() && c.rejectedFor > time.Duration(offersGoalShare*float64(a.Goal.Sub(a.Arrived)))
 }
--- a/caller/offer_test.go
+++ b/caller/offer_test.go
@@ -29,23 +29,8 @@
 	} {
 		t.Run(v.delay.String(), func(t *testing.T) {
 			var offers atomic.Int64
-			var l []link.Candidate
-			for i := range rejecting {
-				a := listen(t, func(c net.Conn) {
-					b := make([]byte, 4<<10)
-					for {
-						if _, err := c.Read(b); err != nil {
-							return
-						}
-						offers.Add(1)
-						time.Sleep(v.delay)
-						_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nFigwheel-Load: 9 100000 100000\r\nFigwheel-Code: "+result.Overloaded.String()+"\r\nFigwheel-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
-					}
-				})
-				l = append(l, link.Candidate{Name: strconv.Itoa(i), Address: a, Slots: 10, SameSite: true, Peer: &link.Peer{}})
-			}
 			e := newNode(t)
-			e.view.Store(caller.NewView(goalSnapshot(t), map[string]link.Candidates{"s": link.NewCandidates(l)}))
+			e.view.Store(caller.NewView(goalSnapshot(t), map[string]link.Candidates{"s": rejectingCandidates(t, rejecting, v.delay, &offers)}))
 			g := send(t, request(t, e, http.MethodGet, "/", nil))
 			if g.Status != http.StatusServiceUnavailable || g.Code != result.Overloaded.String() {
 				t.Errorf("got %+v, want 503 %s", g, result.Overloaded)
@@ -57,6 +42,28 @@
 	}
 }
 
+// rejectingCandidates returns n candidates whose daemons count each offer and reject it after
+// the given delay.
+func rejectingCandidates(t testing.TB, n int, delay time.Duration, offers *atomic.Int64) link.Candidates {
+	t.Helper()
+	var l []link.Candidate
+	for i := range n {
+		a := listen(t, func(c net.Conn) {
+			b := make([]byte, 4<<10)
+			for {
+				if _, err := c.Read(b); err != nil {
+					return
+				}
+				offers.Add(1)
+				time.Sleep(delay)
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nFigwheel-Load: 9 100000 100000\r\nFigwheel-Code: "+result.Overloaded.String()+"\r\nFigwheel-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		l = append(l, link.Candidate{Name: strconv.Itoa(i), Address: a, Slots: 10, SameSite: true, Peer: &link.Peer{}})
+	}
+	return link.NewCandidates(l)
+}
+
 // goalSnapshot returns a snapshot whose route has a goal of a second.
 func goalSnapshot(t testing.TB) *site.Snapshot {
 	t.Helper()
@@ -71,3 +78,28 @@
 	}
 	return s
 }
+
+// TestSlowBodyLeavesOffers guards against a request that is rejected after its first offer
+// since its body took long to arrive: that tells nothing about the daemons, of which another
+// may have room.
+func TestSlowBodyLeavesOffers(t *testing.T) {
+	var offers atomic.Int64
+	e := newNode(t)
+	e.view.Store(caller.NewView(goalSnapshot(t), map[string]link.Candidates{"s": rejectingCandidates(t, 6, 0, &offers)}))
+	r, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, "first")
+		time.Sleep(350 * time.Millisecond) // a quarter of the goal is 250 ms
+		_, _ = io.WriteString(w, "last")
+		_ = w.Close()
+	}()
+	q := request(t, e, http.MethodPost, "/", r)
+	q.ContentLength = int64(len("firstlast"))
+	g := send(t, q)
+	if g.Status != http.StatusServiceUnavailable || g.Code != result.Overloaded.String() {
+		t.Errorf("got %+v, want 503 %s", g, result.Overloaded)
+	}
+	if n := offers.Load(); n < 4 {
+		t.Errorf("%d offers, want at least 4", n)
+	}
+}
