daemon: read the control objects again after a late listing at the start

A daemon that starts lists the control objects until it succeeds once. If the store was restored meanwhile, and a read of the configuration had shown the new era first, the listing was ignored as late, but counted as a success: the daemon never listed again, so that it wrote no roster, joined no fleet by one and did not watch, until it was restarted.

A late listing is now an error, after which the daemon lists again as after others. TestLateListingIsReadAgainAtStart failed before (not within 30 s) and passes.

--- a/daemon/boot.go
+++ b/daemon/boot.go
@@ -60,7 +60,14 @@
 		t := d.now()
 		l, err := d.store.List(x, controlPrefix)
 		if err == nil {
-			err = d.do(x, func(c *control) { c.mergeListing(l, t) })
+			read := false
+			err = d.do(x, func(c *control) {
+				c.mergeListing(l, t)
+				read = c.controlObjectsRead
+			})
+			if err == nil && !read {
+				err = errLate(controlPrefix, l.Era)
+			}
 		}
 		if err == nil {
 			return
--- a/daemon/era_test.go
+++ b/daemon/era_test.go
@@ -13,6 +13,7 @@
 	"figwheel/platform"
 	"figwheel/platform/platformtest"
 	"figwheel/result"
+	"figwheel/settings"
 	"figwheel/store"
 )
 
@@ -246,3 +247,40 @@
 	m.overwrite(2)
 	m.waitServing(2)
 }
+
+// lateListing is a store whose first listing is of an older era than a read that was
+// answered meanwhile.
+type lateListing struct {
+	store.Store
+	lists *atomic.Int64
+	known chan struct{} // closed when the daemon knows the newer era
+}
+
+func (s lateListing) List(x context.Context, prefix string) (store.Listing, error) {
+	l, err := s.Store.List(x, prefix)
+	if s.lists.Add(1) == 1 {
+		<-s.known
+		l.Era--
+	}
+	return l, err
+}
+
+// TestLateListingIsReadAgainAtStart guards against a daemon that starts while the store is
+// restored, ignores the late answer to its only listing and never reads the rosters: it
+// would neither write one nor join a fleet by them.
+func TestLateListingIsReadAgainAtStart(t *testing.T) {
+	m := newRestorableFleet(t, 1)
+	m.store.SetEra(3)
+	var lists atomic.Int64
+	wrap, known := m.wrap, make(chan struct{})
+	m.wrap = func(name string) store.Store { return lateListing{wrap(name), &lists, known} }
+	m.add(settings.Settings{Instance: "late", Site: "site-0"})
+	d := m.daemons[1]
+	_ = d.do(t.Context(), func(c *control) { c.observeEra(3) })
+	close(known)
+	m.wait("the control objects are read", func() bool {
+		read := false
+		_ = d.do(t.Context(), func(c *control) { read = c.controlObjectsRead })
+		return read
+	})
+}
