upstream: forget a service time that rules its kind out

A request whose kind's mean service time exceeds its goal is rejected when all slots are in use under overload, or with a large body whenever another request is in flight. None of the kind is then admitted, so that nothing corrects the mean. A kind whose first request was slow was shut out for as long as the load lasted.

The service time of a kind is now forgotten when it alone rules a request out and none of the kind was admitted for 2 s; the mean of all kinds then stands in for it until the next one ends. A heavier weight of the first samples was weighed: it does not help a kind of which none is admitted. A kind that does take too long costs a few slots every 2 s.

The other tests of the package pass unchanged.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -25,6 +25,10 @@
 	failureCost = 4
 	// kindsMax bounds the kinds of requests whose mean service times are kept.
 	kindsMax = 256
+	// serviceTimeDoubtAge is the time without an admission after which the service time
+	// of a kind may be wrong. It is long beside the goals of most requests, so that a
+	// kind that does take too long costs few slots.
+	serviceTimeDoubtAge = 2 * time.Second
 	// remainingShareMin is the share of its expected service time that must
 	// remain before the deadline of a request when it gets a slot. With less
 	// time left it would occupy the slot and fail.
@@ -317,6 +321,7 @@
 	}
 	w := &waiter{AdmissionRequest: q, serviceTime: g.kindServiceTime(q.Kind), decision: make(chan result.Code, 1)}
 	if q.NoWait || g.rejects(w, now) {
+		g.doubtServiceTime(w, now)
 		g.mu.Unlock()
 		return result.Overloaded
 	}
@@ -440,6 +445,16 @@
 	}
 }
 
+// doubtServiceTime forgets the service time of the kind of w, which is rejected, if that time
+// alone rules it out and none of its kind was admitted for serviceTimeDoubtAge. It answers a
+// load that keeps all slots in use: a kind whose first request was slow would be rejected for
+// as long as the load lasts, and its service time never be corrected.
+func (g *Gate) doubtServiceTime(w *waiter, now time.Time) {
+	if a, ok := g.admissions[w.Kind]; ok && now.Sub(a.lastAt) > serviceTimeDoubtAge && (!w.meetsGoal(now) || w.missesDeadline(now)) {
+		delete(g.kindServiceTimes, w.Kind)
+	}
+}
+
 // ewma returns the exponentially weighted moving average m with the sample v
 // added; m is 0 before the first sample.
 func ewma(m, v time.Duration) time.Duration {
--- a/upstream/gate_body.go
+++ b/upstream/gate_body.go
@@ -43,6 +43,7 @@
 		return result.Leaving
 	}
 	if g.rejectsBody(w, now) {
+		g.doubtServiceTime(w, now)
 		g.mu.Unlock()
 		return result.Overloaded
 	}
