soak: client accounts with keys and quotas, floods and key changes

The soak sent requests without keys under a configuration without accounts, so that nothing checked accounts and quotas while processes fail. Its configuration now has three accounts, two of them with a quota. Beside the callers there were, each daemon has one that pipelines three requests of the metered account, one of a small account that always sends more than its quota, and one that uses the spare key of the newest version and the one before it in turn. New steps: a flood of the metered account at all daemons, and a version in which a new spare key replaces the one before.

New guarantees: the sum of an account's requests that ran in any window of 5 s keeps the quota, over all daemons; a worker receives the right account and no key; a key that was taken away runs nothing sent later than 2.5 s after it at daemons in touch; a known key is not rejected as unknown. The quota is checked by the time of the run alone, which is stricter than the users' rule: that counts only requests that were also sent in the window.

Whether a daemon is in touch is kept for each daemon. The pause without any fault that the version check waits for is rare during a plan, so that keys would have been checked in its last seconds only.

The new steps are drawn by a generator of their own.

--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,10 @@
 	NoUnexpectedExit Guarantee = "no daemon process exits on its own"
 	RateLimitHolds   Guarantee = "a worker gets no more requests than the rate limit that it states allows"
 	LeavingHolds     Guarantee = "a worker that states that it is leaving gets no requests after two seconds"
+	QuotaHolds       Guarantee = "no more requests of a client account run than its quota allows, over all daemons"
+	AccountIsRight   Guarantee = "a worker receives the name of the account that sent the request, and no key"
+	KeyIsGone        Guarantee = "a key that was taken away runs nothing later than 2.5 seconds after it"
+	KeyIsKnown       Guarantee = "a key that the version in force holds is not rejected as unknown"
 	Recovery         Guarantee = "all requests are served again after the faults have ended"
 )
 
@@ -49,7 +53,9 @@
 	lastFaultEnd   time.Time
 	activeFaults   int // number of faults that have not ended
 	accepted       []acceptance
-	results        map[string]int // number of answers by status; those without one are "cut" if interrupted, else "no connection"
+	sent           map[string]request // by id
+	peaks          map[string]int     // by account with a quota, the most requests that ran in one quotaWindow
+	results        map[string]int     // number of answers by status; those without one are "cut" if interrupted, else "no connection"
 }
 
 // acceptance is an accepted version and the time of its acceptance.
@@ -59,7 +65,7 @@
 }
 
 func newChecker(r *platformtest.Runs) *Checker {
-	return &Checker{runs: r, violations: make(map[Guarantee][]string), counts: make(map[Guarantee]int), results: make(map[string]int)}
+	return &Checker{runs: r, violations: make(map[Guarantee][]string), counts: make(map[Guarantee]int), sent: make(map[string]request), peaks: make(map[string]int), results: make(map[string]int)}
 }
 
 // recordViolation counts a violation of g and keeps its description unless
@@ -125,6 +131,9 @@
 	starts        int    // number of starts of the daemon when the request was sent
 	versionSeen   uint64 // newest version that the daemon had been seen to serve before, since its last start
 	versionDue    uint64 // version that must be in force, 0 if the run was not fault-free
+	account       string // name of the account that holds the key
+	key           string
+	keyMustBeGone bool // the key must not open anything
 }
 
 // answer is the answer to a request. The status is 0 if no complete answer was
@@ -155,6 +164,13 @@
 	}
 }
 
+// recordSent notes a request before it is sent.
+func (c *Checker) recordSent(s request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[s.id] = s
+}
+
 // recordAnswer counts the answer and notes the request for checkRuns.
 func (c *Checker) recordAnswer(s request, a answer) {
 	c.mu.Lock()
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -48,6 +48,9 @@
 	starts      int    // number of starts of the daemon so far
 	versionSeen uint64 // newest version that the daemon was seen to serve since its last start
 	stopping    bool   // since its last start, the daemon was sent a signal that ends it
+	startedAt   time.Time
+	outages     int       // number of active steps that take the daemon out of touch
+	outageEnd   time.Time // when the last of them ended
 }
 
 // environment holds the store, the nodes and the checker of a run.
@@ -58,11 +61,13 @@
 	runs    *platformtest.Runs
 	nodes   []*node
 	checker *Checker
+	ids     atomic.Int64 // number of requests of callers
 
 	tasks             sync.WaitGroup
 	mu                sync.Mutex
 	configVersion     uint64
 	objectVersion     string       // store version of the configuration object
+	spareKeys         []time.Time  // when each spare key but the first came into the configuration in place of the one before it
 	activeStoreFaults map[Kind]int // number of active faults of the store by kind
 }
 
@@ -128,7 +133,7 @@
 	s := &http.Server{Handler: platformtest.Handler{Store: e.store}, ReadHeaderTimeout: time.Minute}
 	e.tasks.Go(func() { _ = s.Serve(l) })
 	context.AfterFunc(x, func() { _ = s.Close() })
-	if err := e.writeConfig(); err != nil {
+	if err := e.writeConfig(true); err != nil {
 		return nil, err
 	}
 	for i := range o.Daemons {
@@ -209,7 +214,7 @@
 		c.Stdout, c.Stderr = f, f
 		n.mu.Lock()
 		err := c.Start()
-		n.cmd, n.versionSeen, n.stopping = c, 0, false
+		n.cmd, n.versionSeen, n.stopping, n.startedAt = c, 0, false, time.Now()
 		n.starts++
 		n.mu.Unlock()
 		if err != nil {
@@ -232,15 +237,22 @@
 }
 
 // writeConfig writes the next version of the configuration to the store, as
-// operators do.
-func (e *environment) writeConfig() error {
+// operators do, with a new spare key if changeKey is set.
+func (e *environment) writeConfig(changeKey bool) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion++
+	if changeKey {
+		e.spareKeys = append(e.spareKeys, time.Time{})
+	}
 	if err := e.putConfig(); err != nil {
 		return err
 	}
-	e.checker.recordAccepted(e.configVersion, time.Now())
+	now := time.Now()
+	if changeKey {
+		e.spareKeys[len(e.spareKeys)-1] = now
+	}
+	e.checker.recordAccepted(e.configVersion, now)
 	return nil
 }
 
@@ -283,6 +295,9 @@
 	if err != nil {
 		return err
 	}
+	if b, err = withAccounts(b, len(e.spareKeys)); err != nil {
+		return err
+	}
 	e.store.SetFaults(platformtest.Faults{}) // operators reach the store also during its faults
 	o, err := e.store.Put(context.Background(), platform.ConfigKey, e.objectVersion, b)
 	e.store.SetFaults(e.storeFaults())
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -11,8 +11,8 @@
 // Kind is a kind of fault or of planned work.
 type Kind string
 
-// The kinds. Term, Hup and Config are planned work and WorkerLimit interrupts no
-// request; the others are faults. A daemon whose process has ended is started again.
+// The kinds. Term, Hup, Config and KeyChange are planned work, and WorkerLimit and Flood
+// interrupt no request; the others are faults. A daemon whose process has ended is started again.
 const (
 	Kill           Kind = "kill"             // SIGKILL to one daemon
 	Herd           Kind = "herd"             // SIGKILL to all daemons at once
@@ -32,10 +32,13 @@
 	Term           Kind = "term"             // SIGTERM to one daemon
 	Hup            Kind = "hup"              // SIGHUP to one daemon
 	Config         Kind = "config"           // operators write the next version of the configuration
+	Flood          Kind = "flood"            // many more callers of the metered account at all daemons
+	KeyChange      Kind = "key-change"       // operators write the next version, in which a new key replaces one
 )
 
-// kinds lists each kind with its relative frequency in a plan, but for StoreCopy, whose
-// steps are drawn apart from the others, so that those of a seed stay what they were.
+// kinds lists each kind with its relative frequency in a plan, but for StoreCopy, Flood
+// and KeyChange, whose steps are drawn apart from the others, so that those of a seed
+// stay what they were.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -59,9 +62,15 @@
 	{Config, 6},
 }
 
-// IsPlanned reports whether the kind is planned work or a rate limit, which must not
-// interrupt any request.
-func (k Kind) IsPlanned() bool { return k == Term || k == Hup || k == Config || k == WorkerLimit }
+// IsPlanned reports whether the kind is planned work, a rate limit or load, which must
+// not interrupt any request.
+func (k Kind) IsPlanned() bool {
+	switch k {
+	case Term, Hup, Config, KeyChange, WorkerLimit, Flood:
+		return true
+	}
+	return false
+}
 
 // Step is one fault or one piece of planned work in a plan.
 type Step struct {
@@ -80,6 +89,8 @@
 	stepGapMin, stepGapMax       = 100 * time.Millisecond, 1200 * time.Millisecond
 	stepLengthMin, stepLengthMax = 300 * time.Millisecond, 4 * time.Second
 	copyGapMin, copyGapMax       = 2 * time.Second, 20 * time.Second // between two steps of the kind StoreCopy
+	accountGapMin, accountGapMax = 1 * time.Second, 5 * time.Second  // between two of the kinds Flood and KeyChange
+	floodMin, floodMax           = 2 * time.Second, 5 * time.Second
 )
 
 // Plan returns the steps of a seed in the order in which they start, all of
@@ -108,6 +119,14 @@
 	for t := between(copyGapMin, copyGapMax); t < length; t += between(copyGapMin, copyGapMax) {
 		l = append(l, Step{At: t, For: between(stepLengthMin, stepLengthMax), Kind: StoreCopy})
 	}
+	r = rand.New(rand.NewPCG(seed, 3))
+	for t := between(accountGapMin, accountGapMax); t < length; t += between(accountGapMin, accountGapMax) {
+		s := Step{At: t, For: between(floodMin, floodMax), Kind: Flood}
+		if r.IntN(2) == 0 {
+			s.Kind = KeyChange
+		}
+		l = append(l, s)
+	}
 	slices.SortStableFunc(l, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return l
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -62,6 +62,7 @@
 	}
 	wait(x, drainTime)
 	e.checker.checkRuns()
+	e.checker.checkAccounts(e.runs.All())
 	for _, n := range e.nodes {
 		e.checker.checkNotices(n)
 	}
@@ -74,12 +75,16 @@
 func (e *environment) runPlan(x context.Context, o Options, plan []Step) {
 	y, stop := context.WithCancel(x)
 	var callers, steps sync.WaitGroup
-	var ids atomic.Int64
 	for i := range o.Daemons * callersPerDaemon {
 		callers.Go(func() {
-			e.runCaller(y, rand.New(rand.NewPCG(o.Seed, uint64(100+i))), e.nodes[i/callersPerDaemon], &ids)
+			e.runCaller(y, rand.New(rand.NewPCG(o.Seed, uint64(100+i))), caller{node: e.nodes[i/callersPerDaemon], account: openAccount, thinkTimeMax: thinkTimeMax})
 		})
 	}
+	for i, n := range e.nodes {
+		for j, k := range accountCallers(n) {
+			callers.Go(func() { e.runCaller(y, rand.New(rand.NewPCG(o.Seed, uint64(10_000+10*i+j))), k) })
+		}
+	}
 	began := time.Now()
 	for _, s := range plan {
 		wait(x, s.At-time.Since(began))
@@ -97,6 +102,7 @@
 		e.checker.beginFault()
 		defer func() { e.checker.endFault(time.Now()) }()
 	}
+	defer e.beginOutage(s)()
 	n := e.nodes[s.Target]
 	link := func(m Mode) {
 		n.storeProxy.Set(m)
@@ -150,39 +156,77 @@
 		n.signal(syscall.SIGTERM)
 	case Hup:
 		n.signal(syscall.SIGHUP)
-	case Config:
-		if err := e.writeConfig(); err != nil {
+	case Flood:
+		e.flood(x, s.For)
+	case Config, KeyChange:
+		if err := e.writeConfig(s.Kind == KeyChange); err != nil {
 			e.checker.recordViolation(InForce, "%v", err)
 		}
 	}
 }
 
-// runCaller sends requests to the daemon of n until x ends, over one connection
-// as long as that stays open.
-func (e *environment) runCaller(x context.Context, r *rand.Rand, n *node, ids *atomic.Int64) {
+// runCaller sends requests of k until x ends, over one connection as long as that
+// stays open.
+func (e *environment) runCaller(x context.Context, r *rand.Rand, k caller) {
 	c := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer c.CloseIdleConnections()
+	var p pipeline
+	defer p.close()
 	for x.Err() == nil {
-		s := request{id: fmt.Sprintf("q-%d", ids.Add(1)), nonIdempotent: r.IntN(2) == 0, sentAt: time.Now(), daemon: n.name}
-		s.starts, s.versionSeen = n.state()
-		if e.checker.isFaultFree(s.sentAt) {
-			s.versionDue = e.checker.versionDue(s.sentAt)
+		if k.pipelined > 0 {
+			l := make([]request, k.pipelined)
+			for i := range l {
+				l[i] = e.newRequest(r, k, time.Now())
+			}
+			for i, a := range e.callPipelined(&p, k.node, l) {
+				e.checkCall(k, l[i], a)
+			}
+		} else {
+			s := e.newRequest(r, k, time.Now())
+			e.checkCall(k, s, e.call(c, k.node, s))
 		}
-		a := e.call(c, n, s)
-		starts, _ := n.state()
-		e.checker.checkAnswer(s, a, starts, time.Now())
-		n.recordVersion(s.starts, a.version)
-		wait(x, time.Duration(r.Int64N(int64(thinkTimeMax))))
+		wait(x, time.Duration(r.Int64N(int64(k.thinkTimeMax))))
 	}
 }
 
+// newRequest returns the next request of k. Pipelined requests are idempotent.
+func (e *environment) newRequest(r *rand.Rand, k caller, now time.Time) request {
+	n := k.node
+	s := request{id: fmt.Sprintf("q-%d", e.ids.Add(1)), nonIdempotent: r.IntN(2) == 0 && k.pipelined == 0, sentAt: now, daemon: n.name}
+	s.starts, s.versionSeen = n.state()
+	if e.checker.isFaultFree(now) {
+		s.versionDue = e.checker.versionDue(now)
+	}
+	s.account, s.key = k.account, keyOf(k.account)
+	if k.spareKey {
+		e.chooseSpareKey(&s, n, r.IntN(2) == 0)
+	}
+	return s
+}
+
+// checkCall checks the answer a to the request s of k.
+func (e *environment) checkCall(k caller, s request, a answer) {
+	starts, _ := k.node.state()
+	e.checker.checkAnswer(s, a, starts, time.Now())
+	k.node.recordVersion(s.starts, a.version)
+	if a.status == http.StatusUnauthorized && e.isKnown(s, k.node.isInTouchSince(s.sentAt)) {
+		e.checker.recordViolation(KeyIsKnown, "%s at %s with the key %s", s.id, s.daemon, s.key)
+	}
+}
+
+// content returns the method, path and body of a request.
+func (s request) content() (method, path, body string) {
+	if s.nonIdempotent {
+		return http.MethodPost, "/once/" + s.id, "body of " + s.id
+	}
+	return http.MethodGet, "/twice/" + s.id, ""
+}
+
 // call sends one request and returns its answer. The end of the run does not
 // interrupt it.
 func (e *environment) call(c *http.Client, n *node, s request) answer {
-	method, path, body := http.MethodGet, "/twice/"+s.id, ""
-	if s.nonIdempotent {
-		method, path, body = http.MethodPost, "/once/"+s.id, "body of "+s.id
-	}
+	e.checker.recordSent(s)
+	method, path, body := s.content()
 	x, stop := context.WithTimeout(context.Background(), 2*callTimeout)
 	defer stop()
 	var written atomic.Bool
@@ -191,6 +235,7 @@
 	if err != nil {
 		return answer{}
 	}
+	platformtest.SetKey(q, s.key)
 	if s.nonIdempotent {
 		q.GetBody = nil // keeps net/http from sending the request again
 	}
@@ -199,16 +244,28 @@
 		return answer{interrupted: written.Load() && x.Err() == nil}
 	}
 	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(p.Body)
-	a := answer{status: p.StatusCode}
-	a.version, _ = strconv.ParseUint(p.Header.Get(contract.VersionHeader), 10, 64)
-	a.intact = err == nil && platformtest.IsResponseOf(p.Header, b, services, s.id, path, []byte(body))
+	a, err := readAnswer(p, s)
 	if err != nil {
 		return answer{interrupted: x.Err() == nil, version: a.version}
 	}
 	return a
 }
 
+// readAnswer reads the response p to the request s. With an error it returns the
+// version alone.
+func readAnswer(p *http.Response, s request) (answer, error) {
+	b, err := io.ReadAll(p.Body)
+	var a answer
+	a.version, _ = strconv.ParseUint(p.Header.Get(contract.VersionHeader), 10, 64)
+	if err != nil {
+		return a, err
+	}
+	_, path, body := s.content()
+	a.status = p.StatusCode
+	a.intact = platformtest.IsResponseOf(p.Header, b, services, s.id, path, []byte(body))
+	return a, nil
+}
+
 // awaitServing sends a request to every daemon, in turn a non-idempotent and an
 // idempotent one, until all of them answer 200 under the newest version in one
 // round. It reports whether they did before t passed.
@@ -217,7 +274,7 @@
 	for end := time.Now().Add(t); time.Now().Before(end) && x.Err() == nil; wait(x, 50*time.Millisecond) {
 		serving := 0
 		for i, n := range e.nodes {
-			a := e.call(c, n, request{id: fmt.Sprintf("p-%d-%d", i, time.Now().UnixNano()), nonIdempotent: i%2 == 0})
+			a := e.call(c, n, request{id: fmt.Sprintf("p-%d-%d", i, time.Now().UnixNano()), nonIdempotent: i%2 == 0, account: openAccount, key: keyOf(openAccount)})
 			if a.status == http.StatusOK && a.version == e.configVersion {
 				serving++
 			}
@@ -233,7 +290,7 @@
 // violated, and the violations. It reports whether every guarantee held.
 func (e *environment) writeReport(o Options, plan []Step) bool {
 	c := e.checker
-	_, _ = fmt.Fprintf(o.Out, "seed %d: %d daemons, %d steps in %s, %d versions, answers %v\n", o.Seed, o.Daemons, len(plan), o.Length, e.configVersion, c.results)
+	_, _ = fmt.Fprintf(o.Out, "seed %d: %d daemons, %d steps in %s, %d versions, answers %v, most runs in %s %v\n", o.Seed, o.Daemons, len(plan), o.Length, e.configVersion, c.results, quotaWindow, c.peaks)
 	if len(c.counts) == 0 {
 		return true
 	}
