--- a/soak/account.go
+++ b/soak/account.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -249,6 +250,20 @@
 	}
 }
 
+// checkLogs checks that the logs of the daemons hold no key.
+func (e *environment) checkLogs() error {
+	for _, n := range e.nodes {
+		b, err := os.ReadFile(e.logPath(n))
+		if err != nil {
+			return err
+		}
+		if i := bytes.Index(b, []byte(platformtest.KeyPrefix)); i >= 0 {
+			e.checker.recordViolation(KeyIsNotLogged, "%s at byte %d", e.logPath(n), i)
+		}
+	}
+	return nil
+}
+
 // peak returns the most of the times that lie within one window of the length w, and the
 // last of them.
 func peak(times []time.Time, w time.Duration) (int, time.Time) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,7 @@
 	QuotaHolds       Guarantee = "no more requests of a client account run than its quota allows, over all daemons"
 	AccountIsRight   Guarantee = "a worker receives the name of the account that sent the request, and no key"
 	KeyIsGone        Guarantee = "a key that was taken away runs nothing later than 2.5 seconds after it"
+	KeyIsNotLogged   Guarantee = "no log of a daemon holds a key"
 	KeyIsKnown       Guarantee = "a key that the version in force holds is not rejected as unknown"
 	Recovery         Guarantee = "all requests are served again after the faults have ended"
 )
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -200,10 +200,13 @@
 	}
 }
 
+// logPath returns the path of the log of the daemon of n.
+func (e *environment) logPath(n *node) string { return filepath.Join(e.dir, n.name+".log") }
+
 // runDaemon starts the daemon's process and starts it again whenever it has
 // ended, until x ends. An end without a signal that ends it is a violation.
 func (e *environment) runDaemon(x context.Context, n *node) {
-	f, err := os.OpenFile(filepath.Join(e.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(e.logPath(n), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		e.checker.recordViolation(Recovery, "cannot open the log: %v", err)
 		return
--- a/soak/run.go
+++ b/soak/run.go
@@ -68,6 +68,9 @@
 	}
 	stop()
 	e.tasks.Wait()
+	if err := e.checkLogs(); err != nil {
+		return false, err
+	}
 	return e.writeReport(o, plan), nil
 }
 
