caller: give the answers of a stand-in daemon the worker's proof

An answer at the address of a daemon now needs the proof of the worker (TestAnswerOfDaemonNeedsProof). What the test checks is the same.

--- a/caller/account_test.go
+++ b/caller/account_test.go
@@ -163,13 +163,14 @@
 			var requests atomic.Int64
 			a := platformWorker(t, &requests, func(w net.Conn, q *http.Request) {
 				got <- observed{q.Header.Get(contract.RankHeader), q.Header.Get(contract.AccountHeader), strings.Contains(fmt.Sprint(q.Header), "secret")}
-				reply(w, "200 OK", "", "")
+				reply(w, "200 OK", sealedHeaders, "")
 			})
 			e := platformNode(t)
 			k := link.Candidate{Name: "0", Address: a, Slots: 2, SameSite: true, Peer: &link.Peer{}}
 			e.view.Store(accountView(t, 7, map[string]link.Candidates{"s": link.NewCandidates([]link.Candidate{k})}, c.accounts...))
 			q := request(t, e, "GET", c.path, nil)
 			q.Header.Set("Figwheel-Key", c.key)
+			q.Header.Set("Figwheel-Attempt-Id", "a1")
 			if g := send(t, q); g.Status != http.StatusOK {
 				t.Fatalf("got %+v", g)
 			}
