--- a/site/finding.go
+++ b/site/finding.go
@@ -54,7 +54,9 @@
 func (t Table) Findings() []Finding {
 	var l findings
 	services := t.checkServices(&l)
-	_, faults := t.CloseFaulty()
+	r := t
+	r.Accounts = nil // checkAccounts reports their faults, by account
+	_, faults := r.CloseFaulty()
 	for _, f := range faults {
 		l = append(l, FindingOf("routes", f))
 	}
