link: let the first service time that is reported count at once

Cause: kept the mean service time of a kind for 50 ms also when it was unknown. The instances that had not reported then counted with the default of 50 ms beside the first one with its own, shorter time, so that for that long all requests went to that one.

An unknown mean is now taken anew at each choice, as before. TestChooseTriesUnknownInstancesOnceOneIsKnown fails with the old condition.

--- a/link/choose.go
+++ b/link/choose.go
@@ -222,8 +222,13 @@
 	if a := t.takenAt.age(now); a >= 0 && a < kindTableAgeMax {
 		return t
 	}
-	t.nanos.Store(int64(c.kindServiceTime(kind, now)))
-	t.takenAt.set(now)
+	h := c.kindServiceTime(kind, now)
+	t.nanos.Store(int64(h))
+	// While it is unknown, the first time that is reported must count at once: unknown
+	// instances would look slower than the first one that answers.
+	if h > 0 {
+		t.takenAt.set(now)
+	}
 	return t
 }
 
--- a/link/choose_test.go
+++ b/link/choose_test.go
@@ -371,3 +371,22 @@
 		})
 	}
 }
+
+// TestChooseTriesUnknownInstancesOnceOneIsKnown guards against a mean service time that is
+// kept from before the first report: the instances that have not reported would look slow
+// beside the first one that has, and get no request.
+func TestChooseTriesUnknownInstancesOnceOneIsKnown(t *testing.T) {
+	var l []link.Candidate
+	for i := range 3 {
+		l = append(l, link.Candidate{Name: fmt.Sprint(i), Slots: 4, SameSite: true, Peer: &link.Peer{}})
+	}
+	c := link.NewCandidates(l)
+	r := rand.New(rand.NewPCG(1, 1))
+	first := c.Choose(now, "k", r, nil, link.OtherSiteCost)
+	first.Peer.Report(link.Load{Hold: time.Millisecond, Work: time.Millisecond}, "k", now)
+	for range 100 {
+		if k := c.Choose(now.Add(time.Millisecond), "k", r, nil, link.OtherSiteCost); k == first {
+			t.Fatalf("chose %s again, which is slower than what is expected of the others", k.Name)
+		}
+	}
+}
