upstream: let large answers pass a link that small ones keep busy

Small answers do not wait for the link. Where they use more than the nine tenths of it that the gate counts, the link never becomes idle by its estimate, and a large answer that was ready waited until its deadline and was dropped.

While large answers wait, a part of one is now sent at least every 250 ms. That is about 64 kB a second, a twentieth of a link of 11 Mbit/s, and delays a small answer by the 12 ms of one part. On thinner links the share is larger; dropping a ready answer was weighed as worse.

TestLargeAnswerPassesSteadySmallOnes: 90 KB beside small answers that use 0.95 of the link got DeadlineExceeded with all bytes left before, and is sent within 4 s now.

--- a/upstream/gate_answer.go
+++ b/upstream/gate_answer.go
@@ -26,6 +26,10 @@
 	// link busy. Small answers do not wait, so that the errors of answerLinkShare and
 	// answerHeadBytes would add up without it, and large answers wait for an idle link.
 	answerBacklogLimit = 500 * time.Millisecond
+	// answerPauseMax is the longest time in which no part of a large answer is sent while
+	// some wait. A few of them a second use a small share of most links, and a late answer
+	// is worth more than none.
+	answerPauseMax = 250 * time.Millisecond
 	// answerHeadBytes is what the head of an answer adds to its size, about.
 	answerHeadBytes = 300
 )
@@ -43,6 +47,7 @@
 	waiter
 	answer *Answer
 	bytes  int64
+	since  time.Time // when it began to wait
 }
 
 // outlet is the part of a Gate that controls the answers on the instance's link. The
@@ -51,6 +56,7 @@
 	bytesPerSecond float64       // of the link for answers, 0 if unknown
 	busyUntil      time.Time     // when the link has carried the answers that were sent
 	waiting        []*answerPart // in the order of arrival
+	lastPart       time.Time     // when the last part that had waited was sent
 	wake           *time.Timer   // runs while parts wait, else nil
 	expected       map[int]int64 // bytes of the answers to admitted and queued requests, by rank
 	kinds          map[string]answerMeans
@@ -89,6 +95,16 @@
 	return max(0, min(b, b+o.transferTime(n)-answerBacklogMax))
 }
 
+// pauseLeft returns the time until a waiting part is sent although the link is busy, see
+// answerPauseMax. It answers a load of small answers that keeps the link busy for good.
+func (o *outlet) pauseLeft(now time.Time) time.Duration {
+	from := o.waiting[0].since
+	if from.Before(o.lastPart) {
+		from = o.lastPart
+	}
+	return max(0, answerPauseMax-now.Sub(from))
+}
+
 // expect changes the bytes that are still expected to be sent for a to n.
 func (o *outlet) expect(a *Answer, n int64) {
 	if o.expected == nil {
@@ -185,6 +201,7 @@
 		waiter: waiter{AdmissionRequest: q, serviceTime: o.transferTime(rest), decision: make(chan result.Code, 1)},
 		answer: a,
 		bytes:  n,
+		since:  now,
 	}
 	o.waiting = append(o.waiting, p)
 	g.sendAnswers(now)
@@ -206,12 +223,13 @@
 	o := &g.outlet
 	for len(o.waiting) > 0 {
 		p := slices.MinFunc(o.waiting, func(a, b *answerPart) int { return g.comparePart(a, b, now) })
-		if d := o.untilRoom(p.bytes, now); d > 0 {
+		if d := min(o.untilRoom(p.bytes, now), o.pauseLeft(now)); d > 0 {
 			g.wakeOutlet(now, d)
 			return
 		}
 		o.waiting = slices.DeleteFunc(o.waiting, func(v *answerPart) bool { return v == p })
 		o.send(p.answer, p.bytes, now)
+		o.lastPart = now
 		p.decision <- 0
 	}
 }
--- a/upstream/gate_backlog_test.go
+++ b/upstream/gate_backlog_test.go
@@ -1,6 +1,8 @@
 package upstream_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,3 +34,33 @@
 		}
 	})
 }
+
+// TestLargeAnswerPassesSteadySmallOnes guards against a large answer that is ready and never
+// delivered, since small ones, which do not wait, use all that the gate counts of the link:
+// a twentieth of the link is left.
+func TestLargeAnswerPassesSteadySmallOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, size, part = 1e6, 2000, 16 << 10
+		g := &upstream.Gate{}
+		g.SetLimits(9, 9, time.Now())
+		g.SetLink(rate)
+		x, stop := context.WithCancel(t.Context())
+		var small sync.WaitGroup
+		defer small.Wait()
+		defer stop()
+		small.Go(func() {
+			for ; x.Err() == nil; time.Sleep(size * time.Second / (rate * 95 / 100)) {
+				_ = g.EnterLink(x, time.Now(), upstream.AdmissionRequest{Answer: &upstream.Answer{}}, size, size)
+			}
+		})
+		time.Sleep(10 * time.Second)
+		y, end := context.WithTimeout(x, 4*time.Second)
+		defer end()
+		q := upstream.AdmissionRequest{Answer: &upstream.Answer{}}
+		for rest := int64(90_000); rest > 0; rest -= min(rest, part) {
+			if c := g.EnterLink(y, time.Now(), q, min(rest, part), rest); c != 0 {
+				t.Fatalf("%s with %d bytes left", c, rest)
+			}
+		}
+	})
+}
