--- a/daemon/era.go
+++ b/daemon/era.go
@@ -53,6 +53,7 @@
 		return
 	}
 	if c.eraDoubts++; c.eraDoubts >= eraDoubtsMax {
+		c.d.event(c.x, event.StoreRestored, slog.Uint64("Era", era), slog.Uint64("LastEra", c.storeEra))
 		c.eraDoubts, c.storeEra, c.restoredEra = 0, era, era
 	}
 }
