--- a/event/event.go
+++ b/event/event.go
@@ -144,7 +144,7 @@
 	{ConfigUnreadable, "ConfigUnreadable", slog.LevelWarn, "The platform's configuration cannot be read; the daemon keeps serving the configuration in force."},
 	{ConfigFault, "ConfigFault", slog.LevelWarn, "A route, service or client account of the platform's configuration is invalid; the others are served."},
 	{ObjectUnreadable, "ObjectUnreadable", slog.LevelWarn, "An object of the daemons on the platform cannot be read, as one of another writer; it is ignored. Logged once for each of its versions."},
-	{StoreRestored, "StoreRestored", slog.LevelWarn, "The platform's store has begun another era: it was restored from a copy and may have lost its last writes; the daemons write their own objects again."},
+	{StoreRestored, "StoreRestored", slog.LevelWarn, "The platform's store has begun another era: it was restored from a copy and may have lost its last writes; the daemons write their own objects again. With LastEra above Era, an earlier answer had named an odd era, which the daemon has given up."},
 	{ConfigOlder, "ConfigOlder", slog.LevelWarn, "The platform's configuration is older than the one in force, as after FE409, or has the number of that one with another content; the daemon keeps serving the one in force. Logged once for each version of the object."},
 	{Answered, "Answered", slog.LevelInfo, "A call got the worker's answer."},
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
