--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -90,6 +90,7 @@
 					t.Fatal(err)
 				}
 				d, _ := io.ReadAll(p.Body)
+				_ = p.Body.Close()
 				answers = append(answers, string(d))
 			}
 			if d := cmp.Diff([]string{"/first", "/second", "/third"}, answers); d != "" {
@@ -196,12 +197,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if d, err := io.ReadAll(r.Body); err != nil || string(d) != strings.Repeat(p, size) {
+		d, err := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		if err != nil || string(d) != strings.Repeat(p, size) {
 			t.Errorf("answer %s: %d bytes and %v, want %d bytes of it", p, len(d), err, size)
 		}
 	}
 	if r, err := http.ReadResponse(b, nil); err == nil {
-		if d, err := io.ReadAll(r.Body); err == nil {
+		d, err := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		if err == nil {
 			t.Errorf("answer c: %d bytes without an error, want it to break off", len(d))
 		}
 	}
@@ -334,6 +339,7 @@
 			t.Fatal(err)
 		}
 		_, _ = io.Copy(io.Discard, p.Body)
+		_ = p.Body.Close()
 	}
 	if n := ahead.Load(); n > 0 {
 		t.Errorf("%d of %d requests were begun ahead, want none", n, calls)
--- a/caller/aheadanswer_test.go
+++ b/caller/aheadanswer_test.go
@@ -70,6 +70,7 @@
 				continue // a caller may get it or not
 			}
 			d, err := io.ReadAll(p.Body)
+			_ = p.Body.Close()
 			if err != nil {
 				t.Fatalf("depth %d, answer %d: %v", depth, len(l), err)
 			}
@@ -98,14 +99,18 @@
 	})
 	_, _ = io.WriteString(conn, headOf("/a")+headOf("/b")+headOf("/c"))
 	b := bufio.NewReader(conn)
-	if _, err := http.ReadResponse(b, nil); err != nil {
+	first, err := http.ReadResponse(b, nil)
+	if err != nil {
 		t.Fatal(err)
 	}
+	_ = first.Body.Close()
 	p, err := http.ReadResponse(b, nil)
 	if err != nil {
 		return // nothing of it arrived
 	}
-	if d, err := io.ReadAll(p.Body); err == nil || strings.Contains(string(d), "c") {
+	d, err := io.ReadAll(p.Body)
+	_ = p.Body.Close()
+	if err == nil || strings.Contains(string(d), "c") {
 		t.Errorf("got the body %q and %v, want it to break off", d, err)
 	}
 }
--- a/caller/aheadhandler_test.go
+++ b/caller/aheadhandler_test.go
@@ -75,6 +75,7 @@
 			break
 		}
 		d, _ := io.ReadAll(p.Body)
+		_ = p.Body.Close()
 		got = append(got, fmt.Sprintf("%d %s %v", p.StatusCode, d, p.Close))
 	}
 	if d := cmp.Diff([]string{"200 x false", "200 x true"}, got); d != "" {
@@ -120,6 +121,7 @@
 				t.Fatal(err)
 			}
 			d, _ := io.ReadAll(p.Body)
+			_ = p.Body.Close()
 			if p.StatusCode == http.StatusOK {
 				l = append(l, string(d))
 			} else {
--- a/caller/aheadload_test.go
+++ b/caller/aheadload_test.go
@@ -133,6 +133,7 @@
 			return
 		}
 		d, err := io.ReadAll(p.Body)
+		_ = p.Body.Close()
 		if q.mode == 2 {
 			if err == nil && q.kb > 0 {
 				t.Errorf("answer %d: complete with %d bytes, want it to break off", i, len(d))
@@ -193,7 +194,9 @@
 			if err != nil {
 				t.Fatalf("answer %d: %v", i, err)
 			}
-			if n, err := io.Copy(io.Discard, p.Body); err != nil || i > 0 && n != size {
+			n, err := io.Copy(io.Discard, p.Body)
+			_ = p.Body.Close()
+			if err != nil || i > 0 && n != size {
 				t.Errorf("answer %d: %d bytes and %v, want %d", i, n, err, size)
 			}
 		}
--- a/daemon/pipeline_test.go
+++ b/daemon/pipeline_test.go
@@ -69,6 +69,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, p.Body)
+				_ = p.Body.Close()
 			}
 		})
 	}
