caller: report why an answer that was begun ahead broke off

A request that is served ahead had no progress of its own, so that FE503 named the stage Attempt and no reason when its answer broke off at its turn, where in turn it names Failed and the code: TestCutOfAnswerServedAheadHasItsCause got "closed before the answer was complete" without "FW3007 unexpected EOF". The request now has a progress of its own, which the connection takes over when the answer breaks off, with the version and the time at which the request was begun.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -87,8 +87,9 @@
 		return nil // net/http rejects a malformed one when it gets to it
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
-	x, cancel := context.WithCancel(context.WithValue(p.context, aheadKey{}, true))
-	a := &aheadAnswer{request: r, cancel: cancel, header: make(http.Header), done: make(chan struct{})}
+	a := &aheadAnswer{request: r, header: make(http.Header), done: make(chan struct{})}
+	x, cancel := context.WithCancel(context.WithValue(p.context, aheadKey{}, a))
+	a.cancel = cancel
 	a.changed.L = &a.mu
 	context.AfterFunc(x, a.wake)
 	go a.run(p.config.Handler, r.WithContext(x))
@@ -139,13 +140,19 @@
 	return l
 }
 
-// aheadKey is the key in the context of a request that is served ahead.
+// aheadKey is the key of the *aheadAnswer in the context of a request that is served ahead.
 type aheadKey struct{}
 
+// aheadOf returns the answer to r if r is served before the connection has got to it, nil
+// if not.
+func aheadOf(r *http.Request) *aheadAnswer {
+	a, _ := r.Context().Value(aheadKey{}).(*aheadAnswer)
+	return a
+}
+
 // isAhead reports whether r is served before the connection has got to it.
 func isAhead(r *http.Request) bool {
-	b, _ := r.Context().Value(aheadKey{}).(bool)
-	return b
+	return aheadOf(r) != nil
 }
 
 // takeAhead returns the answer to r if it was begun before net/http got to it.
@@ -190,6 +197,8 @@
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the handler has returned
 
+	progress progress // of the request; the connection's is at an earlier one
+
 	mu       sync.Mutex
 	changed  sync.Cond
 	header   http.Header
@@ -357,6 +366,11 @@
 	p := progressOf(r)
 	p.begin(r.Header.Get(h.Headers.RequestID), version, now)
 	p.reach(stageAttempt, "")
+	defer func() {
+		if a.aborted {
+			p.fail(&a.progress)
+		}
+	}()
 	a.writeTo(w)
 	endAnswer(w, p, nil, h.Now())
 }
--- a/caller/aheadhandler_test.go
+++ b/caller/aheadhandler_test.go
@@ -139,3 +139,30 @@
 		t.Errorf("answers after the version (-want +got):\n%s", d)
 	}
 }
+
+// TestCutOfAnswerServedAheadHasItsCause guards against a report of an answer that broke off
+// which does not say why.
+func TestCutOfAnswerServedAheadHasItsCause(t *testing.T) {
+	var runs atomic.Int64
+	e := platformMesh(t, platformWorker(t, &runs, func(c net.Conn, q *http.Request) {
+		const headers = "Figwheel-Attempt-Id: a1\r\nFigwheel-Server-Seal: s\r\n"
+		if q.URL.Path == "/twice/a" {
+			time.Sleep(50 * time.Millisecond)
+			reply(c, "200 OK", headers, "x")
+			return
+		}
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+headers+"Content-Length: 100000\r\n\r\n", strings.Repeat("b", 50_000))
+		_ = c.Close()
+	}))
+	conn, cuts := dialPipelined(t, e, 8)
+	_, _ = io.WriteString(conn, pipelinedHead("/twice/a", "")+pipelinedHead("/twice/b", ""))
+	_, _ = io.Copy(io.Discard, conn)
+	select {
+	case got := <-cuts:
+		if d := cmp.Diff([]string{"7", "Failed", "closed before the answer was complete: FW3007 unexpected EOF"}, []string{got.Version, got.Stage, got.Reason}); d != "" {
+			t.Errorf("(-want +got)\n%s", d)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no cut was reported")
+	}
+}
--- a/caller/cut.go
+++ b/caller/cut.go
@@ -78,6 +78,20 @@
 	p.reason = reason
 }
 
+// fail records that the answer broke off as o, the progress of the same request while it
+// was served ahead, says.
+func (p *progress) fail(o *progress) {
+	if p == nil {
+		return
+	}
+	o.mu.Lock()
+	version, readAt, s, reason := o.current.Version, o.current.ReadAt, o.stage, o.reason
+	o.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.current.Version, p.current.ReadAt, p.stage, p.reason = version, readAt, s, reason
+}
+
 // answer records that the handler has written the whole answer at the time now. With
 // unfinished, part of the request is unread.
 func (p *progress) answer(unfinished bool, now time.Time) {
@@ -235,10 +249,13 @@
 
 // progressOf returns the progress of the connection of r, nil if it is not tracked.
 // A connection of HTTP/2 is not: it carries many requests at a time.
-// Nor is a request that is served ahead: the connection is at an earlier one.
+// A request that is served ahead has its own: the connection is at an earlier one.
 func progressOf(r *http.Request) *progress {
+	if a := aheadOf(r); a != nil {
+		return &a.progress
+	}
 	c := connectionOf(r)
-	if c == nil || r.ProtoMajor != 1 || isAhead(r) {
+	if c == nil || r.ProtoMajor != 1 {
 		return nil
 	}
 	return &c.progress
