--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -338,6 +338,7 @@
 			t.Fatal(err)
 		}
 		_, _ = io.Copy(io.Discard, p.Body)
+		_ = p.Body.Close()
 	}
 	if n := ahead.Load(); n > 0 {
 		t.Errorf("%d of %d requests were begun ahead, want none", n, calls)
