--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -24,6 +24,8 @@
 
 	outbound, inbound, ready, control, peer, operator, app string
 
+	linkMbps float64
+
 	settings string // path of the settings file
 	output   string // path of the file that the daemon's output goes to
 
@@ -48,13 +50,14 @@
 
 // newMachine returns a machine whose settings file is made from the template of the
 // deploy file.
-func newMachine(root, dir, name, zone, service, platform string) (*machine, error) {
+func newMachine(root, dir, name, zone, service, platform string, linkMbps float64) (*machine, error) {
 	a, err := freeAddresses(7)
 	if err != nil {
 		return nil, err
 	}
 	m := &machine{
 		name: name, zone: zone, service: service,
+		linkMbps: linkMbps,
 		outbound: a[0], inbound: a[1], ready: a[2], control: a[3], peer: a[4], operator: a[5], app: a[6],
 		settings: filepath.Join(dir, name+".yaml"),
 		output:   filepath.Join(dir, name+".log"),
@@ -84,7 +87,7 @@
 		"{{listen_addrs.control_addr}}", m.control,
 		"{{bounds.grace_s}}", "6",
 		"{{bounds.budget_slack}}", "60",
-		"{{limits.link_mbps}}", "1000.0",
+		"{{limits.link_mbps}}", strconv.FormatFloat(m.linkMbps, 'f', 1, 64),
 	).Replace(template)
 }
 
--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -104,12 +104,18 @@
 // get sends a request of a client on the machine for the service of the other one, and
 // returns the status, 0 without an answer.
 func get(x context.Context, m *machine, prefix string, n int) int {
-	q, err := http.NewRequestWithContext(x, http.MethodGet, "http://"+m.outbound+"/lots/"+strconv.Itoa(n), nil)
+	return getPath(x, m, "/lots/"+strconv.Itoa(n), attemptID(prefix, n))
+}
+
+// getPath sends a request of a client on the machine and returns the status, 0 without
+// an answer.
+func getPath(x context.Context, m *machine, path, id string) int {
+	q, err := http.NewRequestWithContext(x, http.MethodGet, "http://"+m.outbound+path, nil)
 	if err != nil {
 		return 0
 	}
 	q.Host = host
-	q.Header.Set(headerID, attemptID(prefix, n))
+	q.Header.Set(headerID, id)
 	q.Header.Set(headerDeadline, "2000")
 	p, err := client.Do(q)
 	if err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,9 @@
 	exitHeld    = 0
 	exitBroken  = 1
 	exitCannot  = 2
-	caseTimeMax = 110 * time.Second
+	caseTimeMax = 112 * time.Second
+
+	linkMbpsDefault = 1000
 )
 
 // errBroken says that the rule of the case was broken.
@@ -33,11 +35,14 @@
 	trouble  bool // whether the case has its disruption
 	store    *store
 	platform string // address of the store
+	linkMbps float64
 	machines []*machine
 }
 
 var cases = map[string]func(x context.Context, s *stage) error{
 	"foreign-check-in": foreignCheckIn,
+	"store-back":       storeBack,
+	"thin-link":        thinLink,
 }
 
 func main() { os.Exit(play()) }
@@ -68,6 +73,8 @@
 		dir:     dir,
 		log:     &recorder{began: time.Now(), file: f},
 		trouble: os.Getenv("TROUBLE") != "0",
+
+		linkMbps: linkMbpsDefault,
 	}
 	defer s.end()
 	s.log.printf("case %s, disruption: %t", os.Args[1], s.trouble)
@@ -92,23 +99,35 @@
 
 // startStore starts the stand-in for the platform's store.
 func (s *stage) startStore(x context.Context) error {
+	s.store = newStore()
+	a, err := s.serveStore(x, nil)
+	s.platform = a
+	return err
+}
+
+// serveStore serves the store at a further address, which it returns. What it sends there
+// takes the time that the link to one machine takes, nil for none.
+func (s *stage) serveStore(x context.Context, k *link) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return "", err
+	}
+	a := l.Addr().String()
+	if k != nil {
+		l = linkListener{l, k}
 	}
-	s.store, s.platform = newStore(), l.Addr().String()
 	v := &http.Server{Handler: s.store}
 	go func() { _ = v.Serve(l) }()
 	go func() {
 		<-x.Done()
 		_ = v.Close()
 	}()
-	return nil
+	return a, nil
 }
 
 // addMachine adds a machine with a worker of the service.
 func (s *stage) addMachine(name, zone, service string) (*machine, error) {
-	m, err := newMachine(s.root, s.dir, name, zone, service, s.platform)
+	m, err := newMachine(s.root, s.dir, name, zone, service, s.platform, s.linkMbps)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -18,6 +18,7 @@
 	revision uint64
 	objects  map[string]*object // by kind and name, with a slash between them
 	changed  chan struct{}      // closed at the next change
+	refuses  bool               // whether each call gets 503
 }
 
 type object struct {
@@ -36,6 +37,20 @@
 	return &store{revision: 1, objects: make(map[string]*object), changed: make(chan struct{})}
 }
 
+// setRefuses sets whether the store is down: it answers each call with 503.
+func (s *store) setRefuses(refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = refuses
+}
+
+// isDown reports whether the store is down.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refuses
+}
+
 // put replaces the specification of an object, which it creates if need be.
 func (s *store) put(kind, name string, specification []byte) {
 	s.mu.Lock()
@@ -63,6 +78,10 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path, ok := strings.CutPrefix(r.URL.Path, "/api/objects/")
+	if s.isDown() {
+		writeJSON(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	if !ok {
 		http.NotFound(w, r)
 		return
