review: case 6, one check-in of another writer changes the caller of requests

review/6/run.sh needs no restart any more: one check-in with the id of the worker, a service of no configuration and a later start. The stand-ins take their ports from below those of connections, and hold what cases 8 and 10 use.

--- a/review/standin-2/back.go
+++ b/review/standin-2/back.go
@@ -16,7 +16,7 @@
 
 	outageTime   = 8 * time.Second        // of the store
 	changeAfter  = 900 * time.Millisecond // its end
-	outagesEvery = 12500 * time.Millisecond
+	outagesEvery = 11800 * time.Millisecond
 	outages      = 8
 )
 
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,18 +36,27 @@
 	ended   chan struct{}
 }
 
+// Ports for the daemons and workers, below those that the system gives to connections.
+const (
+	portMin = 10_000
+	portMax = 30_000
+)
+
 // freeAddresses returns n loopback addresses with free ports.
 func freeAddresses(n int) ([]string, error) {
 	var a []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 50 * n {
+		s := net.JoinHostPort("127.0.0.1", strconv.Itoa(portMin+rand.IntN(portMax-portMin)))
+		l, err := net.Listen("tcp", s)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		a = append(a, l.Addr().String())
+		if a = append(a, s); len(a) == n {
+			return a, nil
+		}
 	}
-	return a, nil
+	return nil, errors.New("too few free ports")
 }
 
 // newMachine returns a machine whose settings file is made from the template of the
--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,12 +13,14 @@
 
 const (
 	unnamedService = "warehouse" // which no configuration names
-	foreignEvery   = 250 * time.Millisecond
 	requestEvery   = 50 * time.Millisecond
+
+	drainTime = 2 * time.Second // drain_s
+	serveOn   = 9 * time.Second // for which a worker serves after its DELETE
 )
 
-// foreignCheckIn plays a daemon that is killed and started again beside a running
-// worker while another writer sends check-ins that name a service of no configuration.
+// foreignCheckIn plays another writer that sends a check-in with the id and the address of a
+// worker and a service of no configuration.
 func foreignCheckIn(x context.Context, s *stage) error {
 	desk, err := s.addMachine("desk", "north", "gauge-desk")
 	if err != nil {
@@ -26,42 +30,16 @@
 	if err != nil {
 		return err
 	}
-	b, err := configuration(
-		7,
-		route{"/gauge/", "gauge-desk", kindIdempotent, 2},
-		route{"/lots/", "lot-ledger", kindIdempotent, 2},
-	)
-	if err != nil {
+	if err := s.startForeign(x, desk); err != nil {
 		return err
 	}
-	s.store.put("config", "main", b)
-	if err := s.startAll(x); err != nil {
-		return err
-	}
-	if !await(10*time.Second, func() bool {
-		return get(x, desk, "warm", 0) == http.StatusOK && get(x, ledger, "warm", 1) == http.StatusOK
-	}) {
-		return fmt.Errorf("the installation does not serve")
-	}
-	y, stop := context.WithCancel(x)
-	defer stop()
 	if s.trouble {
-		go s.writeForeign(y, desk)
+		s.writeForeign(x, desk, func(v map[string]any) {
+			v["server_info"].(map[string]any)["service"] = unnamedService
+		})
 	}
 	answered := 0
-	time.Sleep(time.Second)
-	for i := range 160 {
-		switch {
-		case i == 30:
-			s.log.printf("kill the daemon of %s", desk.name)
-			desk.kill()
-		case i == 36:
-			s.log.printf("start the daemon of %s", desk.name)
-			if err := desk.start(s.root); err != nil {
-				return err
-			}
-			await(5*time.Second, desk.isReady)
-		}
+	for i := range 200 {
 		status := get(x, desk, "c", i)
 		s.log.printf("request c-%d of a client on %s: status %d (0: no connection)", i, desk.name, status)
 		if status == http.StatusOK {
@@ -69,7 +47,6 @@
 		}
 		time.Sleep(requestEvery)
 	}
-	stop()
 	wrong := 0
 	for _, r := range ledger.worker.allRuns() {
 		if r.id[0] == 'c' && r.caller != desk.service {
@@ -86,16 +63,91 @@
 	return nil
 }
 
-// writeForeign sends check-ins to the control address of the machine until x ends.
-func (s *stage) writeForeign(x context.Context, m *machine) {
-	for n := 1; x.Err() == nil; n++ {
-		status, err := checkIn(x, m.control, m.worker.id, m.app, unnamedService, m.zone, 9, n, 0)
-		s.log.printf("check-in of another writer, service %s, sequence %d: %d %v", unnamedService, n, status, err)
-		select {
-		case <-time.After(foreignEvery):
-		case <-x.Done():
+// foreignAfterLeave plays a worker that leaves and serves on for some time, while another
+// writer sends a check-in with its id in which fields are missing.
+func foreignAfterLeave(x context.Context, s *stage) error {
+	desk, err := s.addMachine("desk", "north", "gauge-desk")
+	if err != nil {
+		return err
+	}
+	leaver, err := s.addMachine("ledger-1", "north", "lot-ledger")
+	if err != nil {
+		return err
+	}
+	if _, err := s.addMachine("ledger-2", "north", "lot-ledger"); err != nil {
+		return err
+	}
+	if err := s.startForeign(x, desk); err != nil {
+		return err
+	}
+	if status := leaver.worker.leave(x); status != http.StatusOK {
+		return fmt.Errorf("the DELETE was answered with %d", status)
+	}
+	acked := time.Now()
+	time.Sleep(time.Second)
+	if s.trouble {
+		s.writeForeign(x, leaver, func(v map[string]any) {
+			delete(v["server_info"].(map[string]any), "version")
+			delete(v["server_info"].(map[string]any), "zone")
+			delete(v["status"].(map[string]any), "cold_left_s")
+		})
+	}
+	answered := 0
+	for i := 0; time.Since(acked) < serveOn; i++ {
+		status := get(x, desk, "c", i)
+		s.log.printf("request c-%d of a client on %s: status %d (0: no connection)", i, desk.name, status)
+		if status == http.StatusOK {
+			answered++
 		}
+		time.Sleep(requestEvery)
+	}
+	late := 0
+	for _, r := range leaver.worker.allRuns() {
+		if r.at.Sub(acked) > drainTime {
+			late++
+		}
+	}
+	s.log.printf("%d requests answered with 200, %d reached %s later than %s after the acknowledgement of its DELETE", answered, late, leaver.worker.id, drainTime)
+	switch {
+	case answered < 50:
+		return fmt.Errorf("only %d requests were answered", answered)
+	case late > 0:
+		return errBroken
+	}
+	return nil
+}
+
+// startForeign starts all machines with a route for each service, and waits until they
+// serve and are in touch.
+func (s *stage) startForeign(x context.Context, m *machine) error {
+	b, err := configuration(
+		7,
+		route{"/gauge/", "gauge-desk", kindIdempotent, 2},
+		route{"/lots/", "lot-ledger", kindIdempotent, 2},
+	)
+	if err != nil {
+		return err
 	}
+	s.store.put("config", "main", b)
+	if err := s.startAll(x); err != nil {
+		return err
+	}
+	time.Sleep(stableTime)
+	if !await(10*time.Second, func() bool { return get(x, m, "warm", 1) == http.StatusOK }) {
+		return errors.New("the installation does not serve")
+	}
+	return nil
+}
+
+// writeForeign sends one check-in of another writer to the control address of the machine:
+// that which its worker would send, with the sequence and the start time of the writer,
+// altered by alter.
+func (s *stage) writeForeign(x context.Context, m *machine, alter func(v map[string]any)) {
+	v := checkIn(m.app, m.service, m.zone, m.worker.slots, 1, time.Now().UnixMilli())
+	alter(v)
+	status, err := send(x, http.MethodPut, m.control, m.worker.id, v)
+	b, _ := json.Marshal(v)
+	s.log.printf("check-in of another writer with the id %s: %d %v; %s", m.worker.id, status, err, b)
 }
 
 // client keeps connections open for many requests.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -40,9 +40,11 @@
 }
 
 var cases = map[string]func(x context.Context, s *stage) error{
-	"foreign-check-in": foreignCheckIn,
-	"store-back":       storeBack,
-	"thin-link":        thinLink,
+	"foreign-check-in":    foreignCheckIn,
+	"foreign-after-leave": foreignAfterLeave,
+	"late-delete":         lateDelete,
+	"store-back":          storeBack,
+	"thin-link":           thinLink,
 }
 
 func main() { os.Exit(play()) }
@@ -137,12 +139,19 @@
 }
 
 // startAll starts the daemons and the workers, and waits until all daemons are ready.
-func (s *stage) startAll(x context.Context) error {
+func (s *stage) startAll(x context.Context) error { return s.startWith(x, x, nil) }
+
+// startWith is startAll; the worker of the machine k ends with y.
+func (s *stage) startWith(x, y context.Context, k *machine) error {
 	for _, m := range s.machines {
 		if err := m.start(s.root); err != nil {
 			return err
 		}
-		if err := m.worker.start(x, m.app); err != nil {
+		z := x
+		if m == k {
+			z = y
+		}
+		if err := m.worker.start(z, m.app); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -46,6 +47,7 @@
 
 	address  string
 	mu       sync.Mutex
+	leaving  bool
 	sequence int
 	slot     chan struct{}
 	runs     []run
@@ -76,9 +78,12 @@
 	for {
 		k.mu.Lock()
 		k.sequence++
-		n := k.sequence
+		n, leaving := k.sequence, k.leaving
 		k.mu.Unlock()
-		status, err := checkIn(x, k.control, k.id, k.address, k.service, k.zone, k.slots, n, born)
+		if leaving {
+			return
+		}
+		status, err := send(x, http.MethodPut, k.control, k.id, checkIn(k.address, k.service, k.zone, k.slots, n, born))
 		k.log.printf("check-in of worker %s sequence %d: %d %v", k.id, n, status, err)
 		select {
 		case <-t.C:
@@ -88,23 +93,44 @@
 	}
 }
 
-// checkIn sends a check-in that reports the state ready. A born of 0 is left out.
-func checkIn(x context.Context, control, id, address, service, zone string, slots, sequence int, born int64) (int, error) {
-	v := map[string]any{
+// leave sends the DELETE of a worker that never reports draining, and returns its status.
+// The worker goes on serving, and its health check answers 503.
+func (k *worker) leave(x context.Context) int {
+	k.stopBeats()
+	status, err := send(x, http.MethodDelete, k.control, k.id, nil)
+	k.log.printf("DELETE of worker %s: %d %v", k.id, status, err)
+	return status
+}
+
+// stopBeats begins the worker's leaving without its DELETE.
+func (k *worker) stopBeats() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+// checkIn returns a check-in that reports the state ready.
+func checkIn(address, service, zone string, slots, sequence int, born int64) map[string]any {
+	return map[string]any{
 		"address":     address,
+		"born":        born,
 		"server_info": map[string]any{"service": service, "version": "v1", "zone": zone, "slot_count": slots},
 		"status":      map[string]any{"state": "ready", "sequence": sequence, "cold_left_s": 0},
 	}
-	if born > 0 {
-		v["born"] = born
-	}
-	b, err := json.Marshal(v)
-	if err != nil {
-		return 0, err
+}
+
+// send sends a check-in, nil for none, and returns the status of the answer.
+func send(x context.Context, method, control, id string, v map[string]any) (int, error) {
+	var b []byte
+	if v != nil {
+		var err error
+		if b, err = json.Marshal(v); err != nil {
+			return 0, err
+		}
 	}
 	x, stop := context.WithTimeout(x, time.Second)
 	defer stop()
-	q, err := http.NewRequestWithContext(x, http.MethodPut, "http://"+control+"/api/instances/"+id, bytes.NewReader(b))
+	q, err := http.NewRequestWithContext(x, method, "http://"+control+"/api/instances/"+id, bytes.NewReader(b))
 	if err != nil {
 		return 0, err
 	}
@@ -112,7 +138,7 @@
 	q.Close = true
 	p, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return 0, fmt.Errorf("no answer")
+		return 0, errors.New("no answer")
 	}
 	defer func() { _ = p.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(p.Body, 4<<10))
@@ -123,7 +149,7 @@
 func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
 		w.Header().Set(headerInstance, k.id)
-		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(k.health())
 		return
 	}
 	id := r.Header.Get(headerID)
@@ -164,6 +190,16 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %d", k.id, id, r.URL.Path, len(body))
 }
 
+// health returns the status of the health check.
+func (k *worker) health() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
+
 // allRuns returns the runs so far.
 func (k *worker) allRuns() []run {
 	k.mu.Lock()
