--- a/review/standin-2/back.go
+++ b/review/standin-2/back.go
@@ -45,7 +45,7 @@
 			return fmt.Errorf("the installation does not serve at %s", m.name)
 		}
 	}
-	time.Sleep(stableTime)
+	pause(x, stableTime)
 	late := 0
 	for n := 1; n <= outages; n++ {
 		k, err := s.playOutage(x, n, desk, ledger)
@@ -90,11 +90,11 @@
 		s.log.printf("the store is down")
 		s.store.setRefuses(true)
 	}
-	time.Sleep(outageTime)
+	pause(x, outageTime)
 	s.store.setRefuses(false)
 	back := time.Now()
 	s.log.printf("the store is up")
-	time.Sleep(changeAfter)
+	pause(x, changeAfter)
 	if err := s.putVersion(n); err != nil {
 		return 0, err
 	}
@@ -103,7 +103,7 @@
 	if t := back.Add(stableTime); t.After(from) {
 		from = t
 	}
-	time.Sleep(time.Until(from.Add(boundMargin)))
+	pause(x, time.Until(from.Add(boundMargin)))
 	late := 0
 	moved := []string{"gauge-desk", "lot-ledger"}[n%2]
 	for i := 0; time.Now().Before(began.Add(outagesEvery)); i++ {
@@ -120,7 +120,7 @@
 				late++
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
+		pause(x, 100*time.Millisecond)
 	}
 	return late, x.Err()
 }
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -37,21 +38,28 @@
 }
 
 // Ports for the daemons and workers, below those that the system gives to connections.
+// Each process begins in a block of its own, so that cases may run beside each other.
 const (
-	portMin = 10_000
-	portMax = 30_000
+	portMin   = 10_000
+	portMax   = 30_000
+	portBlock = 50
 )
 
+// portsTaken counts the ports that were tried.
+var portsTaken int
+
 // freeAddresses returns n loopback addresses with free ports.
 func freeAddresses(n int) ([]string, error) {
+	first := os.Getpid() * portBlock
 	var a []string
-	for range 50 * n {
-		s := net.JoinHostPort("127.0.0.1", strconv.Itoa(portMin+rand.IntN(portMax-portMin)))
+	for range portMax - portMin {
+		s := net.JoinHostPort("127.0.0.1", strconv.Itoa(portMin+(first+portsTaken)%(portMax-portMin)))
+		portsTaken++
 		l, err := net.Listen("tcp", s)
 		if err != nil {
 			continue
 		}
-		defer func() { _ = l.Close() }()
+		_ = l.Close()
 		if a = append(a, s); len(a) == n {
 			return a, nil
 		}
@@ -113,6 +121,7 @@
 	c.Dir = root
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FIGWHEEL_CONFIG=" + m.settings}
 	c.Stdout, c.Stderr = o, o
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // of the thread that main has locked
 	if err := c.Start(); err != nil {
 		return err
 	}
@@ -178,6 +187,14 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, a...))
 }
 
+// pause waits for the time t, or until x ends.
+func pause(x context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-x.Done():
+	}
+}
+
 // await waits until f reports true, at most for the time t.
 func await(t time.Duration, f func() bool) bool {
 	for end := time.Now().Add(t); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -45,7 +45,7 @@
 		if status == http.StatusOK {
 			answered++
 		}
-		time.Sleep(requestEvery)
+		pause(x, requestEvery)
 	}
 	wrong := 0
 	for _, r := range ledger.worker.allRuns() {
@@ -84,7 +84,7 @@
 		return fmt.Errorf("the DELETE was answered with %d", status)
 	}
 	acked := time.Now()
-	time.Sleep(time.Second)
+	pause(x, time.Second)
 	if s.trouble {
 		s.writeForeign(x, leaver, func(v map[string]any) {
 			delete(v["server_info"].(map[string]any), "version")
@@ -99,7 +99,7 @@
 		if status == http.StatusOK {
 			answered++
 		}
-		time.Sleep(requestEvery)
+		pause(x, requestEvery)
 	}
 	late := 0
 	for _, r := range leaver.worker.allRuns() {
@@ -132,7 +132,7 @@
 	if err := s.startAll(x); err != nil {
 		return err
 	}
-	time.Sleep(stableTime)
+	pause(x, stableTime)
 	if !await(10*time.Second, func() bool { return get(x, m, "warm", 1) == http.StatusOK }) {
 		return errors.New("the installation does not serve")
 	}
--- a/review/standin-2/late.go
+++ b/review/standin-2/late.go
@@ -37,7 +37,7 @@
 	if err := s.startWith(x, y, ledger); err != nil {
 		return err
 	}
-	time.Sleep(stableTime)
+	pause(x, stableTime)
 	if err := s.putConfig(8, first, later); err != nil {
 		return err
 	}
@@ -51,21 +51,21 @@
 	} else {
 		ledger.worker.leave(x)
 	}
-	time.Sleep(exitAfter)
+	pause(x, exitAfter)
 	s.log.printf("worker %s exits", ledger.worker.id)
 	exit()
-	time.Sleep(startAfter)
+	pause(x, startAfter)
 	again := &worker{log: s.log, service: ledger.service, zone: ledger.zone, id: ledger.worker.id, control: ledger.control, slots: 9, work: ledger.worker.work}
 	if err := again.start(x, ledger.app); err != nil {
 		return err
 	}
 	s.log.printf("worker %s starts again under its id", again.id)
-	time.Sleep(time.Until(left.Add(lateTime)))
+	pause(x, time.Until(left.Add(lateTime)))
 	if s.trouble {
 		status, err := send(x, http.MethodDelete, ledger.control, again.id, nil)
 		s.log.printf("the DELETE of the first start of worker %s arrives: %d %v", again.id, status, err)
 	}
-	time.Sleep(settleTime)
+	pause(x, settleTime)
 	return s.compare(x, desk)
 }
 
@@ -81,7 +81,7 @@
 				served[path]++
 			}
 		}
-		time.Sleep(requestEvery)
+		pause(x, requestEvery)
 	}
 	s.log.printf("served: %d of %d on the first route, %d of %d on the route that was added later", served["/gauge/"], counted, served["/lots/"], counted)
 	switch {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -47,6 +48,9 @@
 	"thin-link":           thinLink,
 }
 
+// The daemons end with the thread that starts them, also if this process is killed.
+func init() { runtime.LockOSThread() }
+
 func main() { os.Exit(play()) }
 
 func play() int {
@@ -83,8 +87,8 @@
 	if err = s.startStore(x); err == nil {
 		err = cases[os.Args[1]](x, s)
 	}
-	if x.Err() != nil && !errors.Is(err, errBroken) {
-		err = x.Err()
+	if x.Err() != nil {
+		err = x.Err() // the case was not played to its end
 	}
 	switch {
 	case err == nil:
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -60,8 +61,11 @@
 
 // write stores an object and returns a copy of it. The caller holds s.mu.
 func (s *store) write(kind, name string, specification []byte) object {
-	s.revision++
 	o := s.objects[kind+"/"+name]
+	if o != nil && bytes.Equal(o.Specification, specification) {
+		return *o // a write that changes nothing makes no revision
+	}
+	s.revision++
 	if o == nil {
 		o = &object{}
 		o.Metadata.Name = name
--- a/review/standin-2/thin.go
+++ b/review/standin-2/thin.go
@@ -45,7 +45,7 @@
 			return fmt.Errorf("the installation does not serve at %s", m.name)
 		}
 	}
-	time.Sleep(stableTime)
+	pause(x, stableTime)
 	missing := 0
 	for n := 1; n <= growths; n++ {
 		routes := routesBefore
@@ -55,7 +55,7 @@
 		if err := s.putRoutes(1+n, routes); err != nil {
 			return err
 		}
-		time.Sleep(afterGrowthTime)
+		pause(x, afterGrowthTime)
 		for i := range 10 {
 			for _, m := range s.machines {
 				id := fmt.Sprintf("c-%d-%d-%s", n, i, m.name)
@@ -65,7 +65,7 @@
 					missing++
 				}
 			}
-			time.Sleep(200 * time.Millisecond)
+			pause(x, 200*time.Millisecond)
 		}
 	}
 	s.log.printf("%d requests were refused with 404 though the route had been there for %s", missing, afterGrowthTime)
@@ -110,7 +110,7 @@
 			return err
 		}
 	}
-	time.Sleep(recoverTime + time.Second)
+	pause(x, recoverTime+time.Second)
 	for _, m := range s.machines {
 		s.log.printf("%s after the restart %s is ready: %t; a request for a route of the first version: %d", recoverTime, m.name, m.isReady(), getPath(x, m, "/service-0/", "restart-"+m.name))
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -154,6 +154,9 @@
 	}
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
+	if k.health() != http.StatusOK {
+		w.Header().Set("Connection", "close")
+	}
 	target := r.Header.Get(headerTarget)
 	switch {
 	case id == "":
