hop: return the error of a broken connection that a write consumed

What callers saw: a worker answers a long upload at once without a length, sends part of the body and resets the connection while the upload is being written. The caller gets that part as a complete 200.

Cause: the kernel reports the error of a connection once. A write that gets the reset leaves the next read the end of the stream, which completes an answer without a length.

Fix: a read that gets the end of the stream waits until no write is in progress and returns the first error of a write. A blocked write is ended by a deadline. EPIPE says that the other side had closed the connection before it was reset, so that the answer is complete. There is no window left: a write that has the error holds the lock until it has recorded it.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -67,6 +68,9 @@
 	writes        uint64
 	writesBlocked bool
 
+	writing  sync.Mutex // held during a write
+	writeErr error      // first error of a write, guarded by writing
+
 	retired  atomic.Bool // whether no further request may use it
 	refusals refusals
 }
@@ -80,7 +84,44 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the other side has closed the
+// connection, and the error of the connection if it broke.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		if broken := c.brokenBefore(); broken != nil {
+			return n, broken
+		}
+	}
+	return n, err
+}
+
+// brokenBefore returns the error by which the connection broke if a write has returned
+// it. The kernel reports the error of a broken connection once: if a write gets it, reads
+// return the end of the stream from then on, as if the other side had closed the connection.
+// A write that is in progress is ended, since it may have got the error and not
+// returned: what is left to write has no reader after the end of the stream.
+func (c *conn) brokenBefore() error {
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	var e syscall.Errno
+	// EPIPE says that the other side had closed the connection before it broke.
+	if errors.As(c.writeErr, &e) && e != syscall.EPIPE {
+		return c.writeErr
+	}
+	return nil
 }
 
 // writeCount returns the number of writes so far.
