hop: reject answers with field names that HTTP does not allow

The caller got it as an answer: after "Content-Length : 4" with the body up to the end of the connection, after "Transfer-Encoding : chunked" with the framing of the chunks as its body. A refusal with such a line was believed. A trailer's name came out in a Trailer line, at which net/http as a caller found the answer broken.

Cause: net/textproto accepts blanks in a name and takes it for another field; the daemon took what net/http accepts for an answer. Control bytes, tabs and other separators in a name are rejected by net/http: they were handled.

Fix: CheckHead says whether a head, by its status and names, is that of an answer. Hop, the store, health checks and the clients of daemons and operators ask it. Interim heads are checked as they arrive, and bounded, since net/http no longer does so once they are; trailers when they have arrived. The connection takes no further request.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -151,11 +151,12 @@
 	passedOver   bool   // whether the last connection takes no further request, or not this one
 	repeated     bool   // whether the id was among conn.refusals before
 	refused      bool   // whether a refusal that names the id was proved to be of the request
+	interimBytes int    // of the heads of interim responses
 }
 
-// withTrace returns x with a trace that calls gotConn.
+// withTrace returns x with a trace that calls gotConn and gotInterim.
 func (s *connTrace) withTrace(x context.Context) context.Context {
-	return httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: s.gotConn})
+	return httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: s.gotConn, Got1xxResponse: s.gotInterim})
 }
 
 // gotConn records the connection that the request got. When a connection breaks,
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -50,13 +50,6 @@
 	Now func() time.Time
 }
 
-// statusMax is the highest status of a response in HTTP.
-const statusMax = 599
-
-// IsAnswer reports whether a response with the status answers a request. net/http also
-// returns responses with other statuses: 101, those below 100 and those above 599.
-func IsAnswer(status int) bool { return status >= http.StatusOK && status <= statusMax }
-
 // Field is a header that a hop adds to the request.
 type Field struct{ Name, Value string }
 
@@ -146,6 +139,9 @@
 	if err != nil {
 		unsent := s.unsent() // also blocks further writes on the connection
 		f := transportFailure(x, err, unsent || h.Daemon && b.Withheld())
+		if f.Code == result.WrongAnswer {
+			s.retire()
+		}
 		return f, f.Outcome == contract.NotRun && s.reused && b.Replayable()
 	}
 	defer func() { _ = p.Body.Close() }()
@@ -165,9 +161,9 @@
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
 func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
-	if !IsAnswer(p.StatusCode) {
+	if o := oddityOf(p); o != "" {
 		// The bytes answer no request that is sent here, whatever the headers say.
-		return unknown(result.WrongAnswer, "the answer has the status "+strconv.Itoa(p.StatusCode))
+		return unknown(result.WrongAnswer, o)
 	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
@@ -213,6 +209,9 @@
 	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
+	if o := oddNameIn(p.Trailer); o != "" {
+		return unknown(result.WrongAnswer, o) // the trailer of a short body has arrived with it
+	}
 	if c := h.beforePart(min(n, partBytesMax), restOf(r, p)); c != 0 {
 		return unknown(c, "the answer was not sent: "+c.Name())
 	}
@@ -368,6 +367,9 @@
 // notRun is set, it is proved that the request was not run.
 func transportFailure(x context.Context, err error, notRun bool) Result {
 	f := unknown(result.AnswerLost, err.Error())
+	if c := result.CodeOf(err); c == result.WrongAnswer {
+		f.Code = c
+	}
 	if notRun {
 		f.Outcome = contract.NotRun
 		f.Code = result.ConnectFailed
@@ -394,6 +396,9 @@
 	if err := h.copyBody(w, p, k, n, err); err != nil {
 		return err
 	}
+	if o := oddNameIn(p.Trailer); o != "" {
+		return result.New(result.WrongAnswer, "%s", o)
+	}
 	for t, v := range p.Trailer {
 		w.Header()[http.TrailerPrefix+t] = v
 	}
--- a/peer/answer_test.go
+++ b/peer/answer_test.go
@@ -38,3 +38,16 @@
 		t.Error("200: the message was not read")
 	}
 }
+
+// TestOddFieldNameIsNoMessage guards against the same for a head with a field whose name HTTP
+// does not allow.
+func TestOddFieldNameIsNoMessage(t *testing.T) {
+	for _, line := range []string{"X : y", "X Y: z", "Content-Length : 4", "Transfer Encoding: chunked", "X\x01: y", "X\x00Y: z", "X\t: y", ": y"} {
+		if exchangeWith(t, "HTTP/1.1 200 OK\r\n"+line) {
+			t.Errorf("%q: the message was read", line)
+		}
+	}
+	if !exchangeWith(t, "HTTP/1.1 200 OK\r\nX-Y.z~: y") {
+		t.Error("a proper head: the message was not read")
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -47,7 +47,7 @@
 	t.MaxIdleConns = idleConnsMax
 	h := &http.Client{Transport: t}
 	o := []connect.ClientOption{connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin)}
-	a, b := addressedClient{h}, "http://"+placeholderHost
+	a, b := addressedClient{hop.Client{Client: h}}, "http://"+placeholderHost
 	return &Client{h, peerpb.NewPeerServiceClient(a, b, o...), peerpb.NewQuotaServiceClient(a, b, o...)}
 }
 
@@ -62,7 +62,7 @@
 
 // addressedClient sends each request to the address in its context, so that one
 // client serves all peers: creating a client costs more than a call.
-type addressedClient struct{ http *http.Client }
+type addressedClient struct{ http hop.Client }
 
 // Do implements connect.HTTPClient.
 func (a addressedClient) Do(q *http.Request) (*http.Response, error) {
