peer: bound responses by what they may hold, and stop at the bound

From workers this could not happen here; from a program at the address of another daemon it could.

Cause: a response between daemons had a bound of 16 MB, that of the largest content, and the buffer of the connect library takes twice as much while it grows. A daemon awaits several at a time. The library read the rest until the time limit.

Heads without end were bounded.

--- a/peer/client.go
+++ b/peer/client.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +12,7 @@
 
 	"figwheel/hop"
 	"figwheel/peer/peerpb"
+	"figwheel/site"
 )
 
 const (
@@ -19,6 +22,13 @@
 	idleConnsMax           = 2 * Fanout // low, because probes go to all other daemons in turn and rarely reuse a connection
 	messageBytesMax        = 16 << 20
 
+	// responseBytesMax bounds a response to a message, in bytes, but one with a content. A
+	// table of some thousand instances fits. A daemon awaits several at a time.
+	responseBytesMax = 512 << 10
+	// contentBytesMax bounds a response with a content, in bytes: one of the largest size and
+	// a mebibyte for the other fields. A daemon fetches few at a time.
+	contentBytesMax = site.BundleBytesMax + 1<<20
+
 	// compressBytesMin is the size from which a message is compressed, in bytes.
 	// For smaller messages, the megabyte of memory that a compressor needs costs
 	// more than the bytes saved. Contents are already compressed.
@@ -29,6 +39,7 @@
 type Client struct {
 	http    *http.Client
 	service peerpb.PeerServiceClient // calls the address in the context
+	fetches peerpb.PeerServiceClient // the same, for responses with contents
 	quotas  peerpb.QuotaServiceClient
 }
 
@@ -46,9 +57,15 @@
 	t.MaxIdleConnsPerHost = idleConnsPerAddressMax
 	t.MaxIdleConns = idleConnsMax
 	h := &http.Client{Transport: t}
-	o := []connect.ClientOption{connect.WithReadMaxBytes(messageBytesMax), connect.WithCompressMinBytes(compressBytesMin)}
-	a, b := addressedClient{hop.Client{Client: h}}, "http://"+placeholderHost
-	return &Client{h, peerpb.NewPeerServiceClient(a, b, o...), peerpb.NewQuotaServiceClient(a, b, o...)}
+	o := connect.WithCompressMinBytes(compressBytesMin)
+	responses, contents := connect.WithReadMaxBytes(responseBytesMax), connect.WithReadMaxBytes(contentBytesMax)
+	a, b := addressedClient{hop.Client{Client: h}, responseBytesMax}, "http://"+placeholderHost
+	return &Client{
+		http:    h,
+		service: peerpb.NewPeerServiceClient(a, b, o, responses),
+		fetches: peerpb.NewPeerServiceClient(addressedClient{a.http, contentBytesMax}, b, o, contents),
+		quotas:  peerpb.NewQuotaServiceClient(a, b, o, responses),
+	}
 }
 
 // Close closes the idle connections.
@@ -61,8 +78,13 @@
 type addressKey struct{}
 
 // addressedClient sends each request to the address in its context, so that one
-// client serves all peers: creating a client costs more than a call.
-type addressedClient struct{ http hop.Client }
+// client serves all peers: creating a client costs more than a call. It returns an error for
+// a response of more than bytesMax, of which the connect library would keep twice as much, and
+// read the rest as long as there is any.
+type addressedClient struct {
+	http     hop.Client
+	bytesMax int64
+}
 
 // Do implements connect.HTTPClient.
 func (a addressedClient) Do(q *http.Request) (*http.Response, error) {
@@ -72,7 +94,16 @@
 		q.URL = &u
 		q.Host = s
 	}
-	return a.http.Do(q)
+	p, err := a.http.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	b, err := hop.ReadBody(p, a.bytesMax)
+	if err != nil {
+		return nil, err
+	}
+	p.Body = io.NopCloser(bytes.NewReader(b))
+	return p, nil
 }
 
 // withAddress returns x with the address that requests are sent to.
@@ -97,7 +128,7 @@
 // is compressed against the base. Without an error, compressed is empty if the
 // daemon does not keep the content.
 func (c *Client) Fetch(x context.Context, address, content, base string) (compressed []byte, delta bool, err error) {
-	p, err := c.service.Fetch(withAddress(x, address), &peerpb.FetchRequest{Content: content, Base: base})
+	p, err := c.fetches.Fetch(withAddress(x, address), &peerpb.FetchRequest{Content: content, Base: base})
 	if err != nil {
 		return nil, false, err
 	}
