hop: reject trailers with fields that frame a message

What callers saw: a worker answered in chunks, with Content-Length, Transfer-Encoding or Trailer as a trailer. The daemon named that field in a Trailer line of its own, and net/http as a caller found the whole answer broken; over HTTP/2 it passed.

Evidence: TestFramingFieldInTrailerIsNoAnswer failed before for answers that are read at the address of a daemon; those of a worker beside another daemon became 502 there already.

Fix: the names of trailers are checked for these fields where they are checked for odd bytes. After: the test passes; other trailers pass before and after.

--- /dev/null
+++ b/caller/frame_test.go
@@ -0,0 +1,57 @@
+package caller_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"figwheel/contract"
+)
+
+// TestFramingFieldInTrailerIsNoAnswer guards against a trailer of a worker that names a field
+// which frames a message, and with which the caller cannot read the answer of the daemon.
+func TestFramingFieldInTrailerIsNoAnswer(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n"
+	for _, c := range []struct {
+		line  string
+		whole bool
+	}{
+		{"Content-Length: 9", false},
+		{"content-length: 4", false},
+		{"Transfer-Encoding: chunked", false},
+		{"Trailer: Sum", false},
+		{"Sum: 1", true},
+		{"Content-Type: text/plain", true},
+	} {
+		for _, http2 := range []bool{false, true} {
+			for end, mesh := range map[string]func(a string) *node{
+				"worker": func(a string) *node { return platformMesh(t, a) },
+				"daemon": func(a string) *node { return rawMesh(t, a) },
+			} {
+				var runs atomic.Int64
+				e := mesh(platformWorker(t, &runs, func(n net.Conn, _ *http.Request) {
+					_, _ = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%s%s\r\n\r\n", sealedHeaders, chunks, c.line)
+				}))
+				p := new(http.Protocols)
+				p.SetHTTP1(!http2)
+				p.SetUnencryptedHTTP2(http2)
+				q := request(t, e, http.MethodPost, "/once/", nil)
+				q.Header.Set("Figwheel-Attempt-Id", "a1")
+				a, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, Protocols: p}}).Do(q)
+				if err != nil {
+					t.Errorf("%q from a %s, HTTP/2 %t: %v, want an answer", c.line, end, http2, err)
+					continue
+				}
+				b, err := io.ReadAll(a.Body)
+				_ = a.Body.Close()
+				whole := err == nil && a.StatusCode == http.StatusOK && string(b) == "body"
+				if whole != c.whole || !whole && (a.StatusCode != http.StatusBadGateway || a.Header.Get(contract.OutcomeHeader) != "unknown") {
+					t.Errorf("%q from a %s, HTTP/2 %t: %d %q, %v; want whole %t", c.line, end, http2, a.StatusCode, b, err, c.whole)
+				}
+			}
+		}
+	}
+}
--- a/hop/head.go
+++ b/hop/head.go
@@ -47,11 +47,23 @@
 	if s := oddNameIn(p.Header); s != "" {
 		return s
 	}
-	return oddNameIn(p.Trailer)
+	return oddTrailerIn(p.Trailer)
+}
+
+// oddTrailerIn returns which field of the trailer h must not be one, or an empty text if there
+// is none. The trailer of a response is complete at the end of its body.
+func oddTrailerIn(h http.Header) string {
+	for k := range h {
+		switch k {
+		case "Content-Length", "Transfer-Encoding", "Trailer":
+			return "the trailer of the answer has the field " + k
+		}
+	}
+	return oddNameIn(h)
 }
 
 // oddNameIn returns which field of h has a name that HTTP does not allow, or an empty text if
-// there is none. The trailer of a response is complete at the end of its body.
+// there is none.
 func oddNameIn(h http.Header) string {
 	for k := range h {
 		if !isToken(k) {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -209,7 +209,7 @@
 	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
-	if o := oddNameIn(p.Trailer); o != "" {
+	if o := oddTrailerIn(p.Trailer); o != "" {
 		return unknown(result.WrongAnswer, o) // the trailer of a short body has arrived with it
 	}
 	if c := h.beforePart(min(n, partBytesMax), restOf(r, p)); c != 0 {
@@ -396,7 +396,7 @@
 	if err := h.copyBody(w, p, k, n, err); err != nil {
 		return err
 	}
-	if o := oddNameIn(p.Trailer); o != "" {
+	if o := oddTrailerIn(p.Trailer); o != "" {
 		return result.New(result.WrongAnswer, "%s", o)
 	}
 	for t, v := range p.Trailer {
