hop: reject answers of other versions of HTTP

What callers saw: an answer that began with HTTP/0.9, HTTP/2.0 or HTTP/9.9 passed, with the proof of the worker, although no such version is spoken on the connection.

Cause: net/http accepts any two digits as the version of a response.

Evidence: TestOtherProtocolIsNoAnswer failed before for these versions, from a worker and at the address of a daemon: 10 cases.

Fix: CheckHead rejects a version other than HTTP/1.x. After: the test passes; HTTP/1.0, 1.1 and 1.9 pass before and after.

--- a/caller/frame_test.go
+++ b/caller/frame_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"figwheel/contract"
 )
 
@@ -55,3 +57,30 @@
 		}
 	}
 }
+
+// TestOtherProtocolIsNoAnswer guards against bytes that begin like an answer of another
+// version of HTTP than the request, and that pass for one.
+func TestOtherProtocolIsNoAnswer(t *testing.T) {
+	failure := received{Status: http.StatusBadGateway, Outcome: "unknown"}
+	whole := received{Status: http.StatusOK, Outcome: "run", Body: "whole"}
+	for version, want := range map[string]received{
+		"HTTP/1.1": whole, "HTTP/1.0": whole, "HTTP/1.9": whole,
+		"HTTP/0.9": failure, "HTTP/0.0": failure, "HTTP/2.0": failure, "HTTP/3.0": failure, "HTTP/9.9": failure,
+		"HTTP/2": failure, "HTTP/1": failure, "HTTP/11.1": failure, "HTTP/1.10": failure, "http/1.1": failure, "HTTPS/1.1": failure, "ICY": failure, "": failure,
+	} {
+		for end, mesh := range map[string]func(a string) *node{
+			"worker": func(a string) *node { return platformMesh(t, a) },
+			"daemon": func(a string) *node { return rawMesh(t, a) },
+		} {
+			var runs atomic.Int64
+			e := mesh(answerAndClose(t, &runs, version+" 200 OK\r\n"+sealedHeaders+"Content-Length: 5\r\n\r\nwhole"))
+			q := request(t, e, http.MethodPost, "/once/", nil)
+			q.Header.Set("Figwheel-Attempt-Id", "a1")
+			g := send(t, q)
+			g.Code = ""
+			if d := cmp.Diff(want, g); d != "" {
+				t.Errorf("%q from a %s: (-want +got)\n%s", version, end, d)
+			}
+		}
+	}
+}
--- a/hop/head.go
+++ b/hop/head.go
@@ -14,8 +14,8 @@
 
 // CheckHead returns an error with the code WrongAnswer if p answers no request in HTTP.
 // net/http also returns responses with other statuses: 101, those below 100 and those above
-// 599. It accepts blanks in the name of a field and takes it for another field, so that an
-// answer whose "Content-Length " is 4 has no length.
+// 599, and those of other versions of HTTP. It accepts blanks in the name of a field and takes
+// it for another field, so that an answer whose "Content-Length " is 4 has no length.
 func CheckHead(p *http.Response) error {
 	if s := oddityOf(p); s != "" {
 		return result.New(result.WrongAnswer, "%s", s)
@@ -44,6 +44,9 @@
 	if p.StatusCode < http.StatusOK || p.StatusCode > statusMax {
 		return "the answer has the status " + strconv.Itoa(p.StatusCode)
 	}
+	if p.ProtoMajor != 1 {
+		return "the answer is one of " + strconv.QuoteToASCII(p.Proto)
+	}
 	if s := oddNameIn(p.Header); s != "" {
 		return s
 	}
