hop: reject answers of HTTP/1.0 with a transfer coding

What callers saw: a worker's answer of HTTP/1.0, a version without transfer codings, came in chunks; the caller got the framing of the chunks as a part of the body, with the worker's proof.

Cause: net/http ignores the Transfer-Encoding of HTTP/1.0 and removes it, so that the body goes to the end of the connection and no check of the head can see it. Ruled out: to reject each answer of HTTP/1.0 without a length, since a sound one ends with its connection.

Fix: the connection looks for the field while a head of HTTP/1.0, or an interim one before it, is read.

--- a/caller/frame_test.go
+++ b/caller/frame_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -84,3 +86,69 @@
 		}
 	}
 }
+
+// TestCodedAnswerOfHTTP10IsNoAnswer guards against an answer of HTTP/1.0 in chunks, a version that
+// has none: the framing of the chunks reached the caller as the body.
+func TestCodedAnswerOfHTTP10IsNoAnswer(t *testing.T) {
+	const old, chunks = "HTTP/1.0 200 OK\r\n" + sealedHeaders, "5\r\nwhole\r\n0\r\n\r\n"
+	failure := received{Status: http.StatusBadGateway, Outcome: "unknown"}
+	whole := received{Status: http.StatusOK, Outcome: "run", Body: "whole"}
+	for name, c := range map[string]struct {
+		answer string
+		want   received
+	}{
+		"chunks":                          {old + "Transfer-Encoding: chunked\r\n\r\n" + chunks, failure},
+		"lower case, no blank":            {old + "transfer-encoding:chunked\r\n\r\n" + chunks, failure},
+		"LF only":                         {strings.ReplaceAll(old, "\r", "") + "Transfer-Encoding: chunked\n\n" + chunks, failure},
+		"first field":                     {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + sealedHeaders + "\r\n" + chunks, failure},
+		"kept, with a length":             {old + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\nwhole", failure},
+		"other coding":                    {old + "Transfer-Encoding: gzip\r\n\r\nwhole", failure},
+		"after an interim answer":         {"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + old + "Transfer-Encoding: chunked\r\n\r\n" + chunks, failure},
+		"after an interim answer of 1.0":  {"HTTP/1.0 100 Continue\r\n\r\n" + old + "Transfer-Encoding: chunked\r\n\r\n" + chunks, failure},
+		"behind a long field":             {old + "X: " + strings.Repeat("x", 5000) + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, failure},
+		"to the end":                      {old + "\r\nwhole", whole},
+		"length":                          {old + "Content-Length: 5\r\n\r\nwhole", whole},
+		"name that begins like the field": {old + "Transfer-Encoding-X: chunked\r\n\r\nwhole", whole},
+		"value like the field":            {old + "X: y\r\n Transfer-Encoding: chunked\r\n\r\nwhole", whole},
+		"HTTP/1.1 in chunks":              {"HTTP/1.1 200 OK\r\n" + sealedHeaders + "Transfer-Encoding: chunked\r\n\r\n" + chunks, whole},
+	} {
+		for end, mesh := range map[string]func(a string) *node{
+			"worker": func(a string) *node { return platformMesh(t, a) },
+			"daemon": func(a string) *node { return rawMesh(t, a) },
+		} {
+			for _, inPieces := range []bool{false, true} {
+				var runs atomic.Int64
+				e := mesh(platformWorker(t, &runs, func(n net.Conn, _ *http.Request) {
+					for s := c.answer; s != ""; {
+						k := len(s)
+						if inPieces {
+							k = min(k, 7)
+							time.Sleep(100 * time.Microsecond)
+						}
+						_, _ = io.WriteString(n, s[:k])
+						s = s[k:]
+					}
+					_ = n.Close()
+				}))
+				for range 2 {
+					q := request(t, e, http.MethodPost, "/alone/", nil)
+					q.Header.Set("Figwheel-Attempt-Id", "a1")
+					g := send(t, q)
+					g.Code = ""
+					if d := cmp.Diff(c.want, g); d != "" {
+						t.Errorf("%s, from a %s, in pieces %t: (-want +got)\n%s", name, end, inPieces, d)
+					}
+				}
+			}
+		}
+	}
+	// A body that holds such a line is no head.
+	var runs atomic.Int64
+	body := "x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	e := platformMesh(t, answerAndClose(t, &runs, old+"\r\n"+body))
+	q := request(t, e, http.MethodPost, "/once/", nil)
+	q.Header.Set("Figwheel-Attempt-Id", "a1")
+	if d := cmp.Diff(received{Status: http.StatusOK, Outcome: "run", Body: body}, send(t, q)); d != "" {
+		t.Errorf("a body with the line: (-want +got)\n%s", d)
+	}
+}
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -73,6 +73,7 @@
 
 	retired  atomic.Bool // whether no further request may use it
 	refusals refusals
+	oldHead  oldHead
 }
 
 // Write implements net.Conn.
@@ -97,6 +98,7 @@
 // connection, and the error of the connection if it broke.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.oldHead.read(b[:n])
 	if errors.Is(err, io.EOF) {
 		if broken := c.brokenBefore(); broken != nil {
 			return n, broken
@@ -178,6 +180,7 @@
 	s.writesBefore = c.writeCount()
 	s.passedOver = c.retired.Load() || s.mustAvoid(c)
 	s.repeated = s.requestID != "" && !c.refusals.add(s.requestID)
+	c.oldHead.due.Store(true)
 	if s.passedOver {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -165,6 +165,9 @@
 		// The bytes answer no request that is sent here, whatever the headers say.
 		return unknown(result.WrongAnswer, o)
 	}
+	if p.ProtoMinor == 0 && s.conn != nil && s.conn.oldHead.hasCoding.Load() {
+		return unknown(result.WrongAnswer, "the answer is one of HTTP/1.0 and has a transfer coding")
+	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
 	if h.Daemon {
 		f.Release = p.Header.Get(contract.ReleaseHeader)
