--- a/caller/reset_test.go
+++ b/caller/reset_test.go
@@ -1,7 +1,6 @@
 package caller_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,30 +10,18 @@
 	"time"
 
 	"figwheel/caller"
+	"figwheel/hop/hoptest"
 	"figwheel/link"
 	"figwheel/upstream"
 )
 
 // earlyWorker returns the address of a worker that answers an upload before it has read it,
-// without a length, and then resets the connection or ends the answer.
-func earlyWorker(t *testing.T, body string, reset bool) string {
+// without a length, and then ends the connection with end.
+func earlyWorker(t *testing.T, body string, end func(c *net.TCPConn)) string {
 	t.Helper()
-	return listen(t, func(c net.Conn) {
-		b := bufio.NewReader(c)
-		q, err := http.ReadRequest(b)
-		if err != nil {
-			return
-		}
+	return hoptest.Serve(t, func(c *net.TCPConn, q *http.Request) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\n\r\n%s", q.Header.Get("Figwheel-Attempt-Id"), body)
-		if reset {
-			_ = c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
-			_, _ = io.CopyN(io.Discard, c, 64<<10)
-			_ = c.(*net.TCPConn).SetLinger(0)
-			return
-		}
-		_ = c.(*net.TCPConn).CloseWrite()
-		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-		_, _ = io.Copy(io.Discard, c)
+		end(c)
 	})
 }
 
@@ -96,7 +83,7 @@
 						p.SetUnencryptedHTTP2(http2)
 						c := &http.Client{Transport: &http.Transport{DisableKeepAlives: !http2, Protocols: p}}
 						defer c.CloseIdleConnections()
-						e := earlyMesh(t, place, earlyWorker(t, body, true))
+						e := earlyMesh(t, place, earlyWorker(t, body, hoptest.ResetEarly))
 						whole, failed := 0, 0
 						var last string
 						for i := range uploads {
@@ -111,7 +98,7 @@
 						if whole > 0 {
 							t.Errorf("%d of %d cut answers reached the caller as whole, want 0", whole, uploads)
 						}
-						e = earlyMesh(t, place, earlyWorker(t, body, false))
+						e = earlyMesh(t, place, earlyWorker(t, body, hoptest.CloseEarly))
 						for i := range uploads {
 							if status, got, err := uploadTo(t, c, e, fmt.Sprint(i), size, chunked); err != nil || status != http.StatusOK || got != body {
 								last = fmt.Sprint(status, " ", len(got), " bytes: ", err)
--- a/hop/reset_test.go
+++ b/hop/reset_test.go
@@ -1,7 +1,6 @@
 package hop_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 
 	"figwheel/contract"
 	"figwheel/hop"
+	"figwheel/hop/hoptest"
 	"figwheel/platform"
 )
 
@@ -28,33 +28,10 @@
 // the request body, and then ends the connection with end.
 func serveEarly(t *testing.T, head, body string, end func(c *net.TCPConn)) string {
 	t.Helper()
-	a, stop := listen(t, func(c net.Conn) {
-		b := bufio.NewReader(c)
-		q, err := http.ReadRequest(b)
-		if err != nil {
-			return
-		}
+	return hoptest.Serve(t, func(c *net.TCPConn, q *http.Request) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\n%s\r\n%s", q.Header.Get("Figwheel-Attempt-Id"), head, body)
-		end(c.(*net.TCPConn))
+		end(c)
 	})
-	t.Cleanup(stop)
-	return a
-}
-
-// resetEnd resets the connection while the request is being written.
-func resetEnd(c *net.TCPConn) {
-	_, _ = io.CopyN(io.Discard, c, 64<<10)
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
-// finEnd ends the answer and reads none of the request that is still being written, until
-// its sender gives up.
-func finEnd(c *net.TCPConn) {
-	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	time.Sleep(time.Millisecond)
-	_, _ = io.Copy(io.Discard, c)
 }
 
 // uploadEndless sends an upload that does not end before its answer.
@@ -91,7 +68,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			tr := hop.NewTransport(0, time.Second, time.Second)
 			defer tr.CloseIdleConnections()
-			h := hop.Hop{Transport: tr, Address: serveEarly(t, "", c.body, resetEnd), Headers: platform.Headers(), HoldBack: c.holdBack}
+			h := hop.Hop{Transport: tr, Address: serveEarly(t, "", c.body, hoptest.ResetEarly), Headers: platform.Headers(), HoldBack: c.holdBack}
 			whole := 0
 			for i := range earlyAnswers {
 				f, _ := uploadEndless(t, h, fmt.Sprint(i), c.length)
@@ -122,7 +99,7 @@
 			t.Run(fmt.Sprint(c.name, " ", length), func(t *testing.T) {
 				tr := hop.NewTransport(0, time.Second, time.Second)
 				defer tr.CloseIdleConnections()
-				h := hop.Hop{Transport: tr, Address: serveEarly(t, c.head, c.body, finEnd), Headers: platform.Headers(), HoldBack: true}
+				h := hop.Hop{Transport: tr, Address: serveEarly(t, c.head, c.body, hoptest.CloseEarly), Headers: platform.Headers(), HoldBack: true}
 				failed := 0
 				var last hop.Result
 				n := earlyAnswers
--- a/peer/answer_test.go
+++ b/peer/answer_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"figwheel/hop/hoptest"
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
 )
@@ -21,7 +22,7 @@
 	}
 	k := peer.NewClient(&peer.Meter{}, nil)
 	defer k.Close()
-	a := serveEarly(t, fmt.Sprintf("%s\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n%s", head, len(m), m), func(*net.TCPConn) {})
+	a := hoptest.ServeEarly(t, fmt.Sprintf("%s\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n%s", head, len(m), m), func(*net.TCPConn) {})
 	p, err := k.Exchange(t.Context(), a, &peerpb.ExchangeRequest{From: "b"})
 	return err == nil && len(p.GetNews()) == 1
 }
