caller: test that an early answer does not end its upload, known red

A dump of goroutines shows the cause: the worker's answer comes before the daemon beside it has asked for the body, and the other daemon then drops the body.

--- a/caller/reset_test.go
+++ b/caller/reset_test.go
@@ -114,3 +114,26 @@
 		}
 	}
 }
+
+// TestEarlyAnswerDoesNotEndUpload guards against an upload that stops on the way between two
+// daemons because its worker began to answer before the second daemon asked for the body, and
+// against an answer that therefore never ends: the worker reads on before it does.
+func TestEarlyAnswerDoesNotEndUpload(t *testing.T) {
+	const uploads, size = 300, 1 << 20
+	worker := hoptest.Serve(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_, _ = io.CopyN(io.Discard, c, size/2)
+		hoptest.CloseEarly(c)
+	})
+	e := earlyMesh(t, "own interface", worker)
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	failed := 0
+	for i := range uploads {
+		if status, body, err := uploadTo(t, c, e, fmt.Sprint(i), size, false); err != nil || status != http.StatusOK || body != "whole" {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d whole answers did not reach the caller, want 0", failed, uploads)
+	}
+}
