upstream, daemon: log faulty answers of the worker

Cause: why an answer of a worker was rejected is known to the daemon beside it alone. The daemon that forwarded the request logs FW3017 or FW3011 without the reason, and nothing at all if a retry was answered, so that an on-call engineer cannot find a worker in trouble.

Change: FE505 (FaultyAnswer) at the daemon beside the worker, with the request's id, the code and the reason, within the limit of log lines about calls.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,6 +122,7 @@
 	d.worker.SetLink(o.Settings.LinkMbps * bytesPerMegabit)
 	d.worker.Unreachable = d.reportUnreachable
 	d.worker.Cleared = d.reportCleared
+	d.worker.Faulty = d.logFaultyAnswer
 	d.worker.Noticed = d.signalNotice
 	d.peers = peer.NewClient(&d.meter, o.Dial)
 	d.quotas = newQuotas(o.Settings.Instance, o.Settings.Site, d.now())
--- a/event/event.go
+++ b/event/event.go
@@ -78,6 +78,7 @@
 	Failed
 	ConnectionCut
 	Abandoned
+	FaultyAnswer
 )
 
 // Events of quotas.
@@ -150,6 +151,7 @@
 	{Failed, "Failed", slog.LevelInfo, "A call got no answer from a worker; code, outcome and text give the reason; Stage and InStage say where it ended and how long it was there, Took is counted from when it was read."},
 	{ConnectionCut, "ConnectionCut", slog.LevelWarn, "A caller's connection ended under a request that was read and not answered completely, and the caller had not left."},
 	{Abandoned, "Abandoned", slog.LevelInfo, "The daemon that forwarded a request to this one gave it up; Stage, InStage and Took are as in FE502. Bounded by the limit of log lines about calls."},
+	{FaultyAnswer, "FaultyAnswer", slog.LevelWarn, "The worker beside this daemon did not answer a request, or not whole, or with bytes that are no answer to it; Text says why. A retry may have been answered. Bounded by the limit of log lines about calls."},
 	{QuotaShort, "QuotaShort", slog.LevelInfo, "The callers of a client account send more than its quota has room for; each daemon admits a share of the requests. Demand is in requests per second at all daemons, Level the tokens of the quota. Logged by the aggregators."},
 	{QuotaFree, "QuotaFree", slog.LevelInfo, "The quota of a client account has room for all its requests again."},
 	{QuotaIsolated, "QuotaIsolated", slog.LevelWarn, "No aggregator answers this daemon; it admits its own part of each quota, one in Known."},
--- a/upstream/worker.go
+++ b/upstream/worker.go
@@ -58,6 +58,10 @@
 	// request; may be nil.
 	Cleared func(f poison.Fingerprint)
 
+	// Faulty is called when the worker did not answer a request, or not whole, or with bytes
+	// that are no answer to it; may be nil.
+	Faulty func(a FaultyAnswer)
+
 	// Noticed is called when what the worker states about itself in its answers
 	// has changed, see Notice; may be nil.
 	Noticed func()
@@ -233,6 +237,7 @@
 	t.complete = f.OK()
 	now = q.Now()
 	k.recordResult(x, s, &f, now)
+	k.reportFaulty(x, r, f)
 	k.trackCrashes(x, s, r, q, level, f, began)
 	if t.isWaiting {
 		return f.At(hop.StageAnswer, t.waited)
