hop: name the checks of answers in the terms of HTTP

headFault, nameFault and trailerFault for oddityOf, oddNameIn and oddTrailerIn, codingScan for oldHead, CheckedClient for Client.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -73,7 +73,7 @@
 
 	retired  atomic.Bool // whether no further request may use it
 	refusals refusals
-	oldHead  oldHead
+	coding   codingScan
 }
 
 // Write implements net.Conn.
@@ -98,7 +98,7 @@
 // connection, and the error of the connection if it broke.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.oldHead.read(b[:n])
+	c.coding.read(b[:n])
 	if errors.Is(err, io.EOF) {
 		if broken := c.brokenBefore(); broken != nil {
 			return n, broken
@@ -180,7 +180,7 @@
 	s.writesBefore = c.writeCount()
 	s.passedOver = c.retired.Load() || s.mustAvoid(c)
 	s.repeated = s.requestID != "" && !c.refusals.add(s.requestID)
-	c.oldHead.due.Store(true)
+	c.coding.due.Store(true)
 	if s.passedOver {
 		c.blockWrites() // the request fails before anything is written, and is sent on another connection
 	}
--- a/hop/head.go
+++ b/hop/head.go
@@ -17,17 +17,17 @@
 // 599, and those of other versions of HTTP. It accepts blanks in the name of a field and takes
 // it for another field, so that an answer whose "Content-Length " is 4 has no length.
 func CheckHead(p *http.Response) error {
-	if s := oddityOf(p); s != "" {
+	if s := headFault(p); s != "" {
 		return result.New(result.WrongAnswer, "%s", s)
 	}
 	return nil
 }
 
-// Client is an http.Client that returns an error for a response whose head CheckHead rejects.
-type Client struct{ *http.Client }
+// CheckedClient is an http.Client that returns an error for a response whose head CheckHead rejects.
+type CheckedClient struct{ *http.Client }
 
 // Do sends q and returns the response.
-func (c Client) Do(q *http.Request) (*http.Response, error) {
+func (c CheckedClient) Do(q *http.Request) (*http.Response, error) {
 	p, err := c.Client.Do(q)
 	if err != nil {
 		return nil, err
@@ -39,45 +39,45 @@
 	return p, nil
 }
 
-// oddityOf returns why p answers no request in HTTP, or an empty text if it does.
-func oddityOf(p *http.Response) string {
+// headFault returns why p answers no request in HTTP, or an empty text if it does.
+func headFault(p *http.Response) string {
 	if p.StatusCode < http.StatusOK || p.StatusCode > statusMax {
 		return "the answer has the status " + strconv.Itoa(p.StatusCode)
 	}
 	if p.ProtoMajor != 1 {
 		return "the answer is one of " + strconv.QuoteToASCII(p.Proto)
 	}
-	if s := oddNameIn(p.Header); s != "" {
+	if s := nameFault(p.Header); s != "" {
 		return s
 	}
-	return oddTrailerIn(p.Trailer)
+	return trailerFault(p.Trailer)
 }
 
-// oddTrailerIn returns which field of the trailer h must not be one, or an empty text if there
+// trailerFault returns which field of the trailer h must not be one, or an empty text if there
 // is none. The trailer of a response is complete at the end of its body.
-func oddTrailerIn(h http.Header) string {
+func trailerFault(h http.Header) string {
 	for k := range h {
 		switch k {
 		case "Content-Length", "Transfer-Encoding", "Trailer":
 			return "the trailer of the answer has the field " + k
 		}
 	}
-	return oddNameIn(h)
+	return nameFault(h)
 }
 
-// oddNameIn returns which field of h has a name that HTTP does not allow, or an empty text if
+// nameFault returns which field of h has a name that HTTP does not allow, or an empty text if
 // there is none.
-func oddNameIn(h http.Header) string {
+func nameFault(h http.Header) string {
 	for k := range h {
 		if !isToken(k) {
-			return "a field of the answer has the name " + strconv.QuoteToASCII(k[:min(len(k), oddNameBytesMax)])
+			return "a field of the answer has the name " + strconv.QuoteToASCII(k[:min(len(k), quotedNameBytesMax)])
 		}
 	}
 	return ""
 }
 
-// oddNameBytesMax bounds what is quoted of a name, in bytes.
-const oddNameBytesMax = 40
+// quotedNameBytesMax bounds what is quoted of a name, in bytes.
+const quotedNameBytesMax = 40
 
 // isToken reports whether s is a token of HTTP, as the name of a field has to be.
 func isToken(s string) bool {
@@ -93,7 +93,7 @@
 // gotInterim checks the head of an interim response. net/http bounds the bytes of all heads
 // of a response, but no longer those of interim ones once they are checked here.
 func (s *connTrace) gotInterim(_ int, h textproto.MIMEHeader) error {
-	if n := oddNameIn(http.Header(h)); n != "" {
+	if n := nameFault(http.Header(h)); n != "" {
 		return result.New(result.WrongAnswer, "%s", n)
 	}
 	s.interimBytes += interimLineBytes
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -161,11 +161,11 @@
 // handleResponse forwards the response p to w, or returns why it must not be
 // forwarded.
 func (h Hop) handleResponse(w http.ResponseWriter, r *http.Request, p *http.Response, b *Body, s *connTrace) Result {
-	if o := oddityOf(p); o != "" {
+	if o := headFault(p); o != "" {
 		// The bytes answer no request that is sent here, whatever the headers say.
 		return unknown(result.WrongAnswer, o)
 	}
-	if p.ProtoMinor == 0 && s.conn != nil && s.conn.oldHead.hasCoding.Load() {
+	if p.ProtoMinor == 0 && s.conn != nil && s.conn.coding.hasCoding.Load() {
 		return unknown(result.WrongAnswer, "the answer is one of HTTP/1.0 and has a transfer coding")
 	}
 	f := Result{Outcome: contract.Run, Status: p.StatusCode}
@@ -212,7 +212,7 @@
 	} else if n, err = p.Body.Read(k[:]); n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return unknown(result.AnswerLost, "the answer broke off: "+err.Error())
 	}
-	if o := oddTrailerIn(p.Trailer); o != "" {
+	if o := trailerFault(p.Trailer); o != "" {
 		return unknown(result.WrongAnswer, o) // the trailer of a short body has arrived with it
 	}
 	if c := h.beforePart(min(n, partBytesMax), restOf(r, p)); c != 0 {
@@ -399,7 +399,7 @@
 	if err := h.copyBody(w, p, k, n, err); err != nil {
 		return err
 	}
-	if o := oddTrailerIn(p.Trailer); o != "" {
+	if o := trailerFault(p.Trailer); o != "" {
 		return result.New(result.WrongAnswer, "%s", o)
 	}
 	for t, v := range p.Trailer {
--- a/operator/client.go
+++ b/operator/client.go
@@ -16,7 +16,7 @@
 
 // NewClient returns a client of the daemon with this operator address.
 func NewClient(address string) operatorpb.OperatorServiceClient {
-	return operatorpb.NewOperatorServiceClient(hop.Client{Client: http.DefaultClient}, "http://"+address, connect.WithReadMaxBytes(messageBytesMax))
+	return operatorpb.NewOperatorServiceClient(hop.CheckedClient{Client: http.DefaultClient}, "http://"+address, connect.WithReadMaxBytes(messageBytesMax))
 }
 
 // NewHandler returns the path and the handler of the service s.
--- a/peer/client.go
+++ b/peer/client.go
@@ -59,7 +59,7 @@
 	h := &http.Client{Transport: t}
 	o := connect.WithCompressMinBytes(compressBytesMin)
 	responses, contents := connect.WithReadMaxBytes(responseBytesMax), connect.WithReadMaxBytes(contentBytesMax)
-	a, b := addressedClient{hop.Client{Client: h}, responseBytesMax}, "http://"+placeholderHost
+	a, b := addressedClient{hop.CheckedClient{Client: h}, responseBytesMax}, "http://"+placeholderHost
 	return &Client{
 		http:    h,
 		service: peerpb.NewPeerServiceClient(a, b, o, responses),
@@ -82,7 +82,7 @@
 // a response of more than bytesMax, of which the connect library would keep twice as much, and
 // read the rest as long as there is any.
 type addressedClient struct {
-	http     hop.Client
+	http     hop.CheckedClient
 	bytesMax int64
 }
 
