--- a/caller/endless_test.go
+++ b/caller/endless_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,19 +147,16 @@
 					until := time.Now().Add(streamTime)
 					var g sync.WaitGroup
 					failed := make(chan received, requests)
-					var served atomic.Int64
 					for range 4 {
 						g.Go(func() {
 							for time.Now().Before(until) {
 								q := request(t, e, http.MethodGet, "/alone/sound", nil)
 								q.Header.Set("Figwheel-Attempt-Id", "a1")
 								r := send(t, q)
-								switch {
-								case r.Status == http.StatusOK && r.Body == "whole":
-									served.Add(1)
-								case a.spoils && r.Status == http.StatusBadGateway:
-								case r.Status == http.StatusServiceUnavailable && r.Outcome == "not-run": // short of processor time
-								default:
+								if a.spoils && r.Status == http.StatusBadGateway {
+									continue
+								}
+								if r.Status != http.StatusOK || r.Body != "whole" {
 									failed <- r
 									return
 								}
@@ -171,9 +167,6 @@
 					if n := grown(); n > most {
 						t.Errorf("memory grew by %d bytes, want at most %d", n, most)
 					}
-					if served.Load() == 0 {
-						t.Error("no request of another caller was served")
-					}
 					close(failed)
 					for r := range failed {
 						t.Errorf("a request of another caller: %+v, want its answer", r)
