hop: bound reads of the store and of peers by their progress

Cause: one read of the configuration might take 1 s, whatever its size. 870,351 bytes take 1.4 s on the link, so that each read ended, and the next one began with the first byte.

Evidence: the log of TestLargeConfigurationOverSlowLinks with the old limit has FE401, GET /api/objects/config/main: context deadline exceeded.

Change: hop.WithPace ends a read that makes no progress for the limit, or whose average rate is below 64 KiB/s for as long, so that a silent store is found as fast as before.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -8,12 +8,14 @@
 
 	"figwheel/change"
 	"figwheel/event"
+	"figwheel/hop"
 	"figwheel/result"
 	"figwheel/site"
 	"figwheel/store"
 )
 
-// configReadTimeout bounds one read of the managed configuration.
+// configReadTimeout bounds the time without progress of a read of the managed
+// configuration.
 const configReadTimeout = time.Second
 
 // configRankKey is the rendezvous hashing key of the reads of the configuration:
@@ -73,7 +75,7 @@
 	var before change.Release
 	var sentIn uint64
 	_ = d.do(x, func(c *control) { before, sentIn = c.known.Head.InForce, c.storeEra })
-	y, stop := context.WithTimeout(x, configReadTimeout)
+	y, stop := hop.WithPace(x, configReadTimeout)
 	defer stop()
 	o, err := d.store.Get(y, d.edge.ConfigKey)
 	if err != nil {
--- a/daemon/head.go
+++ b/daemon/head.go
@@ -8,6 +8,7 @@
 
 	"figwheel/change"
 	"figwheel/event"
+	"figwheel/hop"
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
 	"figwheel/result"
@@ -324,7 +325,7 @@
 // fetchFromPeer fetches the content of that hash from the daemon at the address,
 // as a delta to the content that is served here if the peer has it.
 func (d *Daemon) fetchFromPeer(x context.Context, address, hash string) (fetched, bool) {
-	x, stop := context.WithTimeout(x, exchangeTimeout)
+	x, stop := hop.WithPace(x, exchangeTimeout)
 	defer stop()
 	var f fetched
 	if s := d.View().Snapshot; s != nil {
--- a/hop/read.go
+++ b/hop/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 const (
@@ -17,12 +18,18 @@
 var errLongBody = errors.New("response too large")
 
 // ReadBody reads and closes the body of p. It returns an error if the body has more than
-// bytesMax, as soon as that is known.
+// bytesMax, as soon as that is known. It reports what arrives to the request's context, see
+// WithPace.
 func ReadBody(p *http.Response, bytesMax int64) ([]byte, error) {
 	defer func() { _ = p.Body.Close() }()
 	if p.ContentLength > bytesMax {
 		return nil, errLongBody
 	}
+	var k *pace
+	if p.Request != nil {
+		k, _ = p.Request.Context().Value(paceKey{}).(*pace)
+	}
+	k.arrived(1, time.Now()) // the head
 	var parts [][]byte
 	part := make([]byte, 0, firstPartBytes)
 	for total := int64(0); total <= bytesMax; {
@@ -33,6 +40,7 @@
 		n, err := p.Body.Read(part[len(part):cap(part)])
 		part = part[:len(part)+n]
 		total += int64(n)
+		k.arrived(n, time.Now())
 		switch {
 		case total > bytesMax:
 		case errors.Is(err, io.EOF):
