change: retry failed reads of the configuration at the usual interval

Cause: the wait after a failed read doubled up to 5 s, times up to 1.5, and did not end when the store was back. In an installation of two machines nobody else reads earlier.

Evidence: the simulation of TestPollAfterFailures.

All daemons together make at most 100 reads a second, as without an outage.

TestPollDue asserted the wait that was the fault: a poller does not read 2 s after its third failure, but 3 s after. Its cases now ask that it reads after 0.75 s and not after 0.7 s, however many reads have failed, and that one of very many waits for its part.

--- a/change/poll.go
+++ b/change/poll.go
@@ -1,9 +1,6 @@
 package change
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Poll schedules a daemon's reads of a configuration that another system
 // writes. A few daemons, the pollers, read it at a fixed interval, and their
@@ -14,7 +11,7 @@
 type Poll struct {
 	lastConfirmed time.Time // latest time at which the store is known to have had nothing newer
 	lastRead      time.Time // start of this daemon's last read
-	failures      int       // consecutive failed reads
+	failed        bool      // whether that read failed
 	missingSince  time.Time // since when a configuration that the daemon has heard of is not here, zero if none is
 }
 
@@ -53,7 +50,6 @@
 	// storeReadsPerSecondMax bounds the reads of all daemons together while none
 	// of them has a recent confirmation. It is far below what the store can serve.
 	storeReadsPerSecondMax = 100
-	pollBackoffMax         = 5 * time.Second
 )
 
 // Confirmation states that no version newer than Number had been accepted at the
@@ -102,12 +98,10 @@
 // ReadEnded records the end of the read that started at t, and whether it
 // succeeded. If it did, it confirms the time t.
 func (p *Poll) ReadEnded(t time.Time, ok bool) {
-	if !ok {
-		p.failures++
-		return
+	p.failed = !ok
+	if ok {
+		p.Confirm(t)
 	}
-	p.failures = 0
-	p.Confirm(t)
 }
 
 // Age returns the age of the newest confirmation, and false if there is none.
@@ -117,7 +111,8 @@
 
 // Due reports whether the daemon should read at now. The rank is its rank among
 // the live daemons, below 0 if it has none. The jitter is a random number from
-// 0 to 1, drawn for each read; it spreads the retries of failed reads.
+// 0 to 1, drawn for each read; it spreads the retries of failed reads. Their interval does not
+// grow: a store that is back may have a new version, and in a small fleet nobody else reads it.
 func (p *Poll) Due(now time.Time, rank, live int, jitter float64) bool {
 	if p.lastRead.IsZero() {
 		return true
@@ -129,8 +124,7 @@
 		}
 		wait = max(wait, float64(live)/storeReadsPerSecondMax*float64(time.Second))
 	}
-	if p.failures > 0 {
-		wait = min(wait*math.Pow(2, float64(p.failures-1)), float64(pollBackoffMax))
+	if p.failed {
 		wait *= 0.5 + jitter // spreads retries if the reads of all daemons failed at the same time
 	}
 	return now.Sub(p.lastRead) >= time.Duration(wait)
--- a/daemon/account_test.go
+++ b/daemon/account_test.go
@@ -56,7 +56,7 @@
 			if name != fmt.Sprintf("i-%d", n-1) {
 				return p.store
 			}
-			return partitionableStore{p.store, &f.cutOff, new(atomic.Int64)}
+			return partitionableStore{p.store, &f.cutOff, new(atomic.Bool), new(atomic.Int64)}
 		}
 	})
 	o, err := f.store.Get(t.Context(), platform.ConfigKey)
--- a/daemon/managed_test.go
+++ b/daemon/managed_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"sync/atomic"
 	"testing"
@@ -22,17 +24,23 @@
 	*fleet
 	version     string                   // of the configuration object
 	partitioned map[string]*atomic.Bool  // by instance
+	silent      map[string]*atomic.Bool  // by instance, whether reads of a partitioned store get no response
 	reads       map[string]*atomic.Int64 // by instance
 }
 
 type partitionableStore struct {
 	store.Store
 	partitioned *atomic.Bool
+	silent      *atomic.Bool
 	reads       *atomic.Int64
 }
 
 func (s partitionableStore) Get(x context.Context, key string) (store.Object, error) {
 	s.reads.Add(1)
+	if s.silent.Load() {
+		<-x.Done()
+		return store.Object{}, result.Wrap(result.PlatformUnavailable, x.Err(), "no response")
+	}
 	if s.partitioned.Load() {
 		return store.Object{}, result.New(result.PlatformUnavailable, "cut off")
 	}
@@ -47,7 +55,7 @@
 }
 
 func newManagedFleet(t *testing.T, instances int) *managedFleet {
-	m := &managedFleet{fleet: &fleet{t: t}, partitioned: make(map[string]*atomic.Bool), reads: make(map[string]*atomic.Int64)}
+	m := &managedFleet{fleet: &fleet{t: t}, partitioned: make(map[string]*atomic.Bool), silent: make(map[string]*atomic.Bool), reads: make(map[string]*atomic.Int64)}
 	m.store = newStore()
 	e := ownEdge()
 	e.ConfigKey = "config/main"
@@ -55,9 +63,9 @@
 	m.edge = &e
 	m.wrap = func(name string) store.Store {
 		if m.partitioned[name] == nil {
-			m.partitioned[name], m.reads[name] = &atomic.Bool{}, &atomic.Int64{}
+			m.partitioned[name], m.silent[name], m.reads[name] = &atomic.Bool{}, &atomic.Bool{}, &atomic.Int64{}
 		}
-		return partitionableStore{m.store, m.partitioned[name], m.reads[name]}
+		return partitionableStore{m.store, m.partitioned[name], m.silent[name], m.reads[name]}
 	}
 	m.write(1)
 	m.startAll(2, instances)
@@ -186,9 +194,12 @@
 		{"another daemon without one", time.Hour, 1300 * time.Millisecond, 0, 3, 100, true},
 		{"one of very many without one", 8 * time.Second, time.Hour, 0, 3, 810, false},
 		{"the same later", 9 * time.Second, time.Hour, 0, 3, 810, true},
-		{"a poller after failures", 2 * time.Second, time.Hour, 3, 0, 100, false},
-		{"the same later", 3 * time.Second, time.Hour, 3, 0, 100, true},
-		{"after many failures at least every five seconds", 5 * time.Second, time.Hour, 50, 0, 100, true},
+		{"a poller after failures", 700 * time.Millisecond, time.Hour, 3, 0, 100, false},
+		{"the same later", 750 * time.Millisecond, time.Hour, 3, 0, 100, true},
+		{"after many failures", 700 * time.Millisecond, time.Hour, 50, 0, 100, false},
+		{"the same later", 750 * time.Millisecond, time.Hour, 50, 0, 100, true},
+		{"one of very many after failures", 8 * time.Second, time.Hour, 50, 3, 810, false},
+		{"the same later", 9 * time.Second, time.Hour, 50, 3, 810, true},
 	}
 	for _, c := range cases {
 		var p change.Poll
@@ -207,6 +218,90 @@
 	}
 }
 
+// TestPollAfterFailures guards against reads that come too late after an outage of the store, and against more reads of all daemons together than the store should get in one. A daemon that cannot count on others reads within a second and a half of the store's return, however long it was down, which leaves as much for a slow link until the machine is in touch; each of very many takes its part of the reads.
+func TestPollAfterFailures(t *testing.T) {
+	const (
+		soon          = 1500 * time.Millisecond
+		readsPerSec   = 100
+		step          = 10 * time.Millisecond
+		outage        = 8 * time.Second
+		settled       = 2 * time.Second // from when the daemons no longer read at the same time
+		fleetOfSingle = 75              // the largest in which each daemon reads at the interval of a poller
+	)
+	for _, live := range []int{1, 2, 3, 12, fleetOfSingle, 295, 810} {
+		r := rand.New(rand.NewPCG(uint64(live), 1))
+		down := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+		back := down.Add(outage)
+		polls, jitters, first := make([]change.Poll, live), make([]float64, live), make([]time.Duration, live)
+		reads := 0
+		for now := down; now.Before(back.Add(2 * soon)); now = now.Add(step) {
+			up := !now.Before(back)
+			for i := range polls {
+				if !polls[i].Due(now, i, live, jitters[i]) {
+					continue
+				}
+				polls[i].ReadStarted(now)
+				polls[i].ReadEnded(now, up)
+				jitters[i] = r.Float64()
+				if up && first[i] == 0 {
+					first[i] = now.Sub(back) + step
+				}
+				if !up && now.Sub(down) > settled {
+					reads++
+				}
+			}
+		}
+		if most := int(1.2 * readsPerSec * (outage - settled).Seconds()); reads > most {
+			t.Errorf("%d daemons: %d reads in %s of the outage, want at most %d", live, reads, outage-settled, most)
+		}
+		for i, d := range first {
+			if (i < change.Pollers || live <= fleetOfSingle) && (d == 0 || d > soon) {
+				t.Errorf("%d daemons: that of rank %d reads %s after the outage (0s: not at all), want %s", live, i, d, soon)
+			}
+		}
+	}
+}
+
+// TestConfigurationAfterOutage guards against daemons that serve an old configuration for seconds after an outage of the store, because they wait as if it were still down. A version that is written 0.9 s after the outage is in force 2 s later, or 3 s after the outage.
+func TestConfigurationAfterOutage(t *testing.T) {
+	t.Parallel()
+	const (
+		outage  = 8 * time.Second
+		written = 900 * time.Millisecond // after the outage
+		stable  = 3 * time.Second
+		applied = 2 * time.Second
+	)
+	for n := range 8 {
+		silent := n%2 == 1
+		t.Run(fmt.Sprintf("silent %t, %d", silent, n), func(t *testing.T) {
+			t.Parallel()
+			m := newManagedFleet(t, 2)
+			m.waitServing(1)
+			set := func(down bool) {
+				for i := range m.daemons {
+					s := m.daemons[i].Settings().Instance
+					m.silent[s].Store(down && silent)
+					m.partitioned[s].Store(down)
+				}
+			}
+			set(true)
+			time.Sleep(outage)
+			set(false)
+			back := time.Now()
+			time.Sleep(written)
+			m.write(2)
+			due := time.Now().Add(applied)
+			if s := back.Add(stable); s.After(due) {
+				due = s
+			}
+			m.waitServing(2)
+			if d := time.Since(due); d > 0 {
+				t.Errorf("in force %s too late", d)
+			}
+		})
+	}
+}
+
 // TestContentCompressedOnceForManyFetches guards against a compressor for each
 // fetch, which takes megabytes when all peers of a daemon fetch a large content
 // at the same time.
