daemon: ask the worker after its leaving what an announcement is worth

Cause: a DELETE says nothing of the start that it comes from. After a leaving the daemon decided by the order of announcements alone, which took the running start for gone, and a check-in with a later start time for a restart. Any other doubtful announcement is confirmed by the worker.

Change: a leaving takes effect at once, as before. An announcement after it that the same id is ready is held until the worker answers a health check that began after the leaving: a worker that leaves answers 503. A former id is refused for good only for starts that are known to be replaced.

Two assertions said that nothing but a restart ends a leaving. TestHistoryAfterAnotherWriter asked that a confirmed announcement is refused after a leaving; it asks now that an unconfirmed one is, and TestConfirmationAfterLeaving that an answer from before the leaving confirms nothing. The case of TestWorkerFound with announcements after the worker has left had a stand-in that went on answering that it is ready; it answers that it is not now, and the answer is waited for. With answers that it is ready the case is that of a late leaving, and new.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -172,10 +172,11 @@
 }
 
 // needsConfirmation reports whether the worker can confirm the announcement a, and has to
-// if it has not done so. The order of announcements alone decides on a start that is
-// leaving or was replaced.
+// if it has not done so. The order of announcements alone decides on a start that is known
+// to be replaced. It does not on one that has announced that it leaves: a DELETE does not say
+// of which start it is, and may be late.
 func (c *control) needsConfirmation(a upstream.Announcement) bool {
-	if !c.d.canAskWorker() || c.history.IsLeaving(a.ID) {
+	if !c.d.canAskWorker() || c.history.IsReplaced(a) {
 		return false
 	}
 	if c.serving == nil {
@@ -221,6 +222,7 @@
 		return
 	}
 	c.workerBeingAsked = true
+	c.confirmation.Ask()
 	address := c.settings.WorkerAddress
 	c.start(func(x context.Context) {
 		var h upstream.Health
@@ -256,7 +258,8 @@
 	case ran && h.ID != "" && !h.Notice.IsLeaving():
 		c.confirmWorker(h.ID, now)
 	case ran || h.Notice.IsLeaving():
-		c.dropHeld()
+		_, _, l := c.confirmation.Answer("")
+		c.logUnready(l, "")
 	}
 	c.updateSelf(now)
 }
@@ -272,11 +275,7 @@
 	c.logUnready(dropped, id)
 	if known {
 		c.nextAsk = time.Time{}
-		a, err := c.history.Accept(a)
-		if err != nil {
-			c.logRefused(a, err) // its sender has got an acknowledgement
-			return
-		}
+		c.history.Accept(a)
 		c.announce(a, t)
 		return
 	}
@@ -288,10 +287,7 @@
 }
 
 // dropHeld drops the announcements that are held: the worker is not ready.
-func (c *control) dropHeld() {
-	_, _, l := c.confirmation.Answer("")
-	c.logUnready(l, "")
-}
+func (c *control) dropHeld() { c.logUnready(c.confirmation.Drop(), "") }
 
 // logUnready logs that the announcements l are dropped because the worker is not ready, or
 // because its start with the id answered.
--- a/daemon/foreign_test.go
+++ b/daemon/foreign_test.go
@@ -15,10 +15,10 @@
 // nested returns a JSON value of arrays in arrays, n levels deep.
 func nested(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
 
-// checkIn sends a check-in to the daemon i.
-func (f *platformFleet) checkIn(i int, id, body string) {
+// checkIn sends a check-in to the first daemon.
+func (f *platformFleet) checkIn(id, body string) {
 	f.t.Helper()
-	q, err := http.NewRequestWithContext(f.t.Context(), http.MethodPut, "http://"+f.daemons[i].Settings().UpstreamAddress+"/api/instances/"+id, strings.NewReader(body))
+	q, err := http.NewRequestWithContext(f.t.Context(), http.MethodPut, "http://"+f.daemons[0].Settings().UpstreamAddress+"/api/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -109,11 +109,11 @@
 					t.Errorf("a request ended with %d %s %s", s, code, when)
 				}
 			}
-			f.checkIn(0, foreign, body)
+			f.checkIn(foreign, body)
 			stays("after the check-in of another writer")
 			f.kill(0)
 			f.start(0, f.daemons[0].Settings())
-			f.checkIn(0, foreign, body)
+			f.checkIn(foreign, body)
 			stays("after a restart")
 		})
 	}
--- a/daemon/worker_test.go
+++ b/daemon/worker_test.go
@@ -100,6 +100,7 @@
 	third := with(func(a *upstream.Announcement) { a.Sequence++ })
 	draining := with(func(a *upstream.Announcement) { a.State = instance.Draining.String() })
 	left := upstream.Announcement{ID: "w-2", State: instance.Left.String()}
+	later := with(func(a *upstream.Announcement) { a.Born, a.Sequence = 300, 1 })
 	older := with(func(a *upstream.Announcement) { a.ID, a.Born = "w-1", 100 })
 	olderLeft := upstream.Announcement{ID: "w-1", State: instance.Left.String()}
 	newer := with(func(a *upstream.Announcement) { a.ID, a.Born, a.Sequence = "w-3", 300, 1 })
@@ -119,7 +120,11 @@
 		{"two late announcements from before it was leaving", []answer{notReady}, []upstream.Announcement{ready, next}, instance.Starting, 0, ""},
 		{"three late announcements, the last one first", []answer{notReady}, []upstream.Announcement{third, ready, next}, instance.Starting, 0, ""},
 		{"late announcements before and after it is leaving", []answer{notReady}, []upstream.Announcement{ready, draining, third}, instance.Draining, 7, "w-2"},
-		{"late announcements after it has left", []answer{is}, []upstream.Announcement{left, ready, next}, instance.Starting, 0, "w-2"},
+		{"late announcements after it has left", []answer{is, notReady}, []upstream.Announcement{left, ready, next}, instance.Starting, 0, "w-2"},
+		{"an earlier start announced late that it has left", []answer{is, is}, []upstream.Announcement{left, ready, next}, instance.Ready, 7, "w-2"},
+		{"another writer announced that it is leaving", []answer{is, is}, []upstream.Announcement{ready, draining, third}, instance.Ready, 7, "w-2"},
+		{"another writer announced that it has left, and it takes no connection at first", []answer{is, refused, is}, []upstream.Announcement{ready, left, third}, instance.Ready, 7, "w-2"},
+		{"a late announcement after it has left, in the name of a later start", []answer{is, notReady}, []upstream.Announcement{ready, left, later}, instance.Starting, 7, "w-2"},
 		{"it was leaving and announces that", []answer{notReady}, []upstream.Announcement{ready, draining}, instance.Draining, 7, "w-2"},
 		{"it was not ready for a short time", []answer{notReady, is}, []upstream.Announcement{ready, next}, instance.Ready, 7, "w-2"},
 		{"another worker has followed it", []answer{notReady, {id: "w-3"}}, []upstream.Announcement{newer, ready}, instance.Ready, 7, "w-3"},
@@ -175,19 +180,25 @@
 	for _, c := range []struct {
 		name string
 		then []upstream.Announcement // before the answer
-		id   string                  // in the answer
+		ids  []string                // in the answers
 		want instance.State
 	}{
-		{"it is ready", []upstream.Announcement{ready}, "w-1", instance.Ready},
-		{"it is not ready", []upstream.Announcement{ready}, "", instance.Starting},
-		{"another start is ready", []upstream.Announcement{ready}, "w-2", instance.Ready},
-		{"it has left since it answered", []upstream.Announcement{left}, "w-1", instance.Starting},
-		{"it has left since it announced itself and answered", []upstream.Announcement{ready, left}, "w-1", instance.Starting},
+		{"it is ready", []upstream.Announcement{ready}, []string{"w-1"}, instance.Ready},
+		{"it is not ready", []upstream.Announcement{ready}, []string{""}, instance.Starting},
+		{"another start is ready", []upstream.Announcement{ready}, []string{"w-2"}, instance.Ready},
+		{"it has left since it answered", []upstream.Announcement{left}, []string{"w-1"}, instance.Starting},
+		{"it has left since it announced itself and answered", []upstream.Announcement{ready, left}, []string{"w-1"}, instance.Starting},
+		{"it has left since it answered, and a late announcement comes", []upstream.Announcement{left, ready}, []string{"w-1", ""}, instance.Starting},
+		{"an earlier start has left since it answered", []upstream.Announcement{left, ready}, []string{"w-1", "w-1"}, instance.Ready},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			proceed := make(chan struct{})
-			ask, asked := answers(t, answer{id: c.id})
+			var l []answer
+			for _, id := range c.ids {
+				l = append(l, answer{id: id})
+			}
+			ask, asked := answers(t, l...)
 			f := newWorkerFleet(t, func(x context.Context, a, p string) (upstream.Health, error) {
 				<-proceed
 				return ask(x, a, p)
@@ -201,13 +212,13 @@
 				_ = f.daemons[0].takeAnnouncement(a, time.Now())
 			}
 			close(proceed)
-			f.waitAnswered(asked, 1)
+			f.waitAnswered(asked, int32(len(c.ids)))
 			f.ask(0, func(k *control) bool {
 				if s := k.table.Self().State; s != c.want {
 					t.Errorf("state %s, want %s", s, c.want)
 				}
-				if c.want == instance.Ready && k.announcement.ID != c.id {
-					t.Errorf("worker %s, want %s", k.announcement.ID, c.id)
+				if id := c.ids[len(c.ids)-1]; c.want == instance.Ready && k.announcement.ID != id {
+					t.Errorf("worker %s, want %s", k.announcement.ID, id)
 				}
 				return true
 			})
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -90,15 +90,15 @@
 	return !a.IsOtherStart(o) && !o.IsOtherStart(a) && a.Address == o.Address
 }
 
-// formerIDsMax bounds the ids of former workers that a History keeps.
-const formerIDsMax = 32
+// formerMax bounds the starts of former workers that a History keeps.
+const formerMax = 32
 
 // History decides which of the announcements to one daemon are current. An
 // announcement may arrive late, from an earlier start of the worker or from a
 // worker that has been replaced. The zero value has received none.
 type History struct {
-	last      Announcement
-	formerIDs []string // ids that were replaced by another one, or that left
+	last   Announcement
+	former []Announcement // of starts that were replaced by another id, or that left
 }
 
 // Apply records a as the last announcement if it is current and returns the
@@ -115,13 +115,13 @@
 		if a.State != readyState && h.last.ID != "" {
 			// A former worker is draining or has left. It receives no requests
 			// any more, so nothing changes.
-			h.recordFormer(a.ID)
+			h.recordFormer(a)
 			return h.last, nil
 		}
-		if slices.Contains(h.formerIDs, a.ID) || a.Born > 0 && a.Born < h.last.Born {
+		if h.formerIndex(a.ID) >= 0 || a.Born > 0 && a.Born < h.last.Born {
 			return a, result.New(result.OldAnnouncement, "worker %s was replaced by %s", a.ID, h.last.ID)
 		}
-		h.recordFormer(h.last.ID)
+		h.recordFormer(h.last)
 		h.last = a
 		return a, nil
 	}
@@ -148,32 +148,47 @@
 // IsLeaving reports whether the worker with the id has announced that it leaves or was
 // replaced.
 func (h *History) IsLeaving(id string) bool {
-	return id != "" && (h.last.ID == id && h.last.State != readyState || slices.Contains(h.formerIDs, id))
+	return id != "" && (h.last.ID == id && h.last.State != readyState || h.formerIndex(id) >= 0)
 }
 
-// Accept is like Apply for an announcement that the worker has confirmed, unless it is
-// leaving. It replaces the last one whatever their start times and sequences: the time of
-// day may have been set back, and the last one may be of another writer.
-func (h *History) Accept(a Announcement) (Announcement, error) {
-	if a.ID == h.last.ID && h.last.State != readyState {
-		return h.Apply(a)
+// IsReplaced reports whether a comes from a start that was replaced by another id, or from
+// one before it under the same id. It is false if the time of either start is not known.
+func (h *History) IsReplaced(a Announcement) bool {
+	i := h.formerIndex(a.ID)
+	return i >= 0 && a.Born > 0 && a.Born <= h.former[i].Born
+}
+
+// Accept is like Apply for an announcement that the worker has confirmed since it arrived. It
+// replaces the last one whatever their start times, sequences and states: the time of day may
+// have been set back, and the last one may be late or of another writer.
+func (h *History) Accept(a Announcement) {
+	if i := h.formerIndex(a.ID); i >= 0 {
+		h.former = slices.Delete(h.former, i, i+1)
 	}
 	if a.ID != h.last.ID {
-		h.recordFormer(h.last.ID)
+		h.recordFormer(h.last)
 	}
 	h.last = a
-	return a, nil
 }
 
-// recordFormer adds id to the ids of former workers and drops the oldest one if
+// formerIndex returns the index of the id in h.former, or a number below 0.
+func (h *History) formerIndex(id string) int {
+	return slices.IndexFunc(h.former, func(a Announcement) bool { return a.ID == id })
+}
+
+// recordFormer adds a to the starts of former workers and drops the oldest one if
 // there are too many.
-func (h *History) recordFormer(id string) {
-	if id == "" {
+func (h *History) recordFormer(a Announcement) {
+	if a.ID == "" {
 		return
 	}
-	h.formerIDs = append(h.formerIDs, id)
-	if len(h.formerIDs) > formerIDsMax {
-		h.formerIDs = h.formerIDs[1:]
+	if i := h.formerIndex(a.ID); i >= 0 {
+		a.Born = max(a.Born, h.former[i].Born)
+		h.former = slices.Delete(h.former, i, i+1)
+	}
+	h.former = append(h.former, a)
+	if len(h.former) > formerMax {
+		h.former = h.former[1:]
 	}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -199,9 +199,7 @@
 	if _, err := h.Apply(w(2, "Ready")); result.CodeOf(err) != result.OldAnnouncement {
 		t.Errorf("a late one: %v, want %s", err, result.OldAnnouncement)
 	}
-	if _, err := h.Accept(w(3, "Ready")); err != nil {
-		t.Errorf("one that the worker confirms: %v", err)
-	}
+	h.Accept(w(3, "Ready")) // the worker confirms it
 	if _, err := h.Apply(w(4, "Ready")); err != nil {
 		t.Errorf("the next one: %v", err)
 	}
@@ -209,7 +207,92 @@
 	if a, err := h.Apply(w(5, "Draining")); err != nil || a.State != "Draining" {
 		t.Errorf("its leaving: %+v, %v", a, err)
 	}
-	if _, err := h.Accept(w(6, "Ready")); result.CodeOf(err) != result.OldAnnouncement {
+	if _, err := h.Apply(w(6, "Ready")); result.CodeOf(err) != result.OldAnnouncement || !h.IsLeaving("w") {
 		t.Errorf("ready after it is leaving: %v, want %s", err, result.OldAnnouncement)
 	}
+	h.Accept(w(6, "Ready")) // the worker confirms that it is not leaving
+	if h.IsLeaving("w") {
+		t.Error("it is leaving after it has confirmed that it is not")
+	}
+	if _, err := h.Apply(w(7, "Ready")); err != nil {
+		t.Errorf("the one after that: %v", err)
+	}
+}
+
+// TestHistoryKnowsReplacedStarts guards against an id that is refused for good because an earlier start under it was replaced or has left, and against late announcements of that start.
+func TestHistoryKnowsReplacedStarts(t *testing.T) {
+	start := func(id string, born int64) upstream.Announcement {
+		return upstream.Announcement{ID: id, Born: born, Sequence: 1, State: "Ready"}
+	}
+	var h upstream.History
+	h.Accept(start("w-1", 100))
+	h.Accept(start("w-2", 200))
+	if _, err := h.Apply(upstream.Announcement{ID: "w-3", State: "Left"}); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		a    upstream.Announcement
+		want bool
+	}{
+		{"the replaced start", start("w-1", 100), true},
+		{"one before it", start("w-1", 50), true},
+		{"one after it", start("w-1", 300), false},
+		{"one of an unknown time", start("w-1", 0), false},
+		{"the current start", start("w-2", 200), false},
+		{"another id that has left", start("w-3", 300), false},
+		{"an unknown id", start("w-4", 10), false},
+	} {
+		if got := h.IsReplaced(c.a); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+	h.Accept(start("w-1", 300))
+	if h.IsLeaving("w-1") || !h.IsReplaced(start("w-2", 200)) {
+		t.Error("the start that the worker confirmed did not replace the other one")
+	}
+}
+
+// TestConfirmationAfterLeaving guards against a worker that has announced that it leaves and is in use again because of a late announcement, and against one that is not in use again because its leaving was announced late or by another writer. Only an answer to a health check that began after that counts.
+func TestConfirmationAfterLeaving(t *testing.T) {
+	now := time.Date(2026, 12, 7, 12, 0, 0, 0, time.UTC)
+	ready := upstream.Announcement{ID: "w-1", Sequence: 3, State: "Ready"}
+	left := upstream.Announcement{ID: "w-1", State: "Left"}
+	other := upstream.Announcement{ID: "w-2", State: "Left"}
+	for _, c := range []struct {
+		name           string
+		before, during []upstream.Announcement // the health check
+		id             string                  // in the answer
+		confirmed      bool
+		held           bool // until the next health check
+	}{
+		{"asked after it", []upstream.Announcement{left, ready}, nil, "w-1", true, false},
+		{"asked after it, not ready", []upstream.Announcement{left, ready}, nil, "", false, false},
+		{"asked before it", []upstream.Announcement{}, []upstream.Announcement{left, ready}, "w-1", false, true},
+		{"asked before it, after an announcement", []upstream.Announcement{ready}, []upstream.Announcement{left}, "w-1", false, false},
+		{"asked before another one left", []upstream.Announcement{ready}, []upstream.Announcement{other}, "w-1", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var k upstream.Confirmation
+			for _, a := range c.before {
+				k.Hold(a, now)
+			}
+			k.Ask()
+			for _, a := range c.during {
+				k.Hold(a, now)
+			}
+			a, _, _ := k.Answer(c.id)
+			if got := a.ID != ""; got != c.confirmed {
+				t.Errorf("confirmed: %t, want %t", got, c.confirmed)
+			}
+			if got := k.Held(now, time.Minute).ID != ""; got != c.held {
+				t.Errorf("held: %t, want %t", got, c.held)
+			}
+			k.Ask()
+			a, _, _ = k.Answer("w-1")
+			if got := a.ID != ""; got != c.held {
+				t.Errorf("confirmed by the next health check: %t, want %t", got, c.held)
+			}
+		})
+	}
 }
