daemon: refuse a check-in that gives the worker's id another service

Cause: the service of a check-in was compared with that of the same start only, and the start time is a word of the sender.

Change: a check-in with the id of the last one and another service counts if the settings name that service, or if a configuration has it and the worker is not in use.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -291,7 +291,7 @@
 
 // checkSource returns an error of code BadAnnouncement if the announcement a cannot come
 // from the worker beside this daemon: it names another address than the settings, or
-// another service than the settings and an earlier announcement of the same start.
+// a service that the worker cannot have.
 func (c *control) checkSource(a upstream.Announcement) error {
 	o := c.announcement
 	switch {
@@ -299,12 +299,28 @@
 		return nil
 	case c.d.canAskWorker() && a.Address != c.settings.WorkerAddress:
 		return result.New(result.BadAnnouncement, "worker %s announces the address %s, the settings have %s", a.ID, a.Address, c.settings.WorkerAddress)
-	case a.ID != "" && o.Sequence > 0 && a.IsSameWorker(o) && a.Service != o.Service && a.Service != c.settings.Service:
+	case a.ID != "" && a.ID == o.ID && a.Service != o.Service && a.Service != c.settings.Service && !c.mayChangeService(a):
 		return result.New(result.BadAnnouncement, "worker %s announces the service %s after %s", a.ID, a.Service, o.Service)
 	}
 	return nil
 }
 
+// mayChangeService reports whether a worker may announce a, with the id of the last
+// announcement and another service than that and the settings. Its answer to a health check
+// does not show which service it has, so that none may which is in use, and none may have a
+// service that no configuration has.
+func (c *control) mayChangeService(a upstream.Announcement) bool {
+	o := c.announcement
+	if o.Sequence > 0 && a.IsSameWorker(o) {
+		return false
+	}
+	if !c.d.canAskWorker() || c.serving == nil {
+		return true
+	}
+	_, known := c.serving.Service(a.Service)
+	return known && (o.Sequence == 0 || o.State != instance.Ready.String())
+}
+
 // logRefused logs that the announcement a is refused with err.
 func (c *control) logRefused(a upstream.Announcement, err error) {
 	c.d.event(c.x, event.AnnouncementRefused, slog.String("ID", a.ID), slog.String("State", a.State), slog.String("Cause", err.Error()))
--- a/daemon/origin_test.go
+++ b/daemon/origin_test.go
@@ -1,10 +1,14 @@
 package daemon
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"figwheel/instance"
+	"figwheel/platform"
+	"figwheel/platform/platformtest"
 	"figwheel/upstream"
 )
 
@@ -53,3 +57,71 @@
 		}
 	}
 }
+
+// TestOriginAfterCheckInOfOtherWriter guards against requests that name another service than that of their machine, and against a worker that is displaced, because another writer has sent a check-in with the worker's id and address and another service. The worker stays in use, and its own check-ins are acknowledged.
+func TestOriginAfterCheckInOfOtherWriter(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name     string
+		service  string
+		state    string
+		later    bool // whether it names a start a second after that of the worker, or none
+		sequence uint64
+		restart  bool // whether the check-in is the first one after a restart of the daemon
+	}{
+		{"a service of no configuration, a later start", "unknown", "ready", true, 1, false},
+		{"a service of no configuration, no start", "unknown", "ready", false, 9000, false},
+		{"a service of no configuration, draining", "unknown", "draining", true, 1, false},
+		{"another service, a later start", "other", "ready", true, 1, false},
+		{"another service, no start", "other", "ready", false, 9000, false},
+		{"a service of no configuration, a later start, after a restart", "unknown", "ready", true, 1, true},
+		{"a service of no configuration, no start, after a restart", "unknown", "ready", false, 9000, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newPlatformFleet(t, 1)
+			b, err := platformtest.Config(2, "h.example", platformtest.Route{PathPrefix: "/", Service: "s"}, platformtest.Route{PathPrefix: "/other/", Service: "other"})
+			if err == nil {
+				_, err = f.store.Overwrite(platform.ConfigKey, b)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.waitServing(2)
+			id, address, born := f.worker()
+			if c.restart {
+				f.kill(0)
+				f.start(0, f.daemons[0].Settings())
+				f.wait("the worker has answered", func() bool {
+					return f.ask(0, func(k *control) bool { return k.announcement.ID == id })
+				})
+			}
+			s := ""
+			if c.later {
+				s = fmt.Sprintf(`"born":%d,`, born+1000)
+			}
+			f.checkIn(id, fmt.Sprintf(`{"address":%q,%s"server_info":{"service":%q,"version":"v1","zone":"z","slot_count":4},"status":{"state":%q,"sequence":%d,"cold_left_s":0}}`, address, s, c.service, c.state, c.sequence))
+			var first uint64
+			f.ask(0, func(k *control) bool {
+				first = k.announcement.Sequence
+				return true
+			})
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if s, code := f.send(0, "/x"); s != http.StatusOK {
+					t.Errorf("a request ended with %d %s", s, code)
+				}
+			}
+			for _, r := range f.runs.All() {
+				if r.Caller != "s" {
+					t.Fatalf("request %s names the service %q", r.ID, r.Caller)
+				}
+			}
+			f.ask(0, func(k *control) bool {
+				if a := k.announcement; a.ID != id || a.Service != "s" || a.Sequence <= first || a.Sequence >= 9000 {
+					t.Errorf("the worker's check-ins do not count: %+v after the sequence %d", a, first)
+				}
+				return true
+			})
+		})
+	}
+}
