daemon: read only the changes of a large configuration

Cause: the three pollers read the whole object each 0.75 s, whether it had changed or not. On such links they read without a pause, and a read that began before a write had to end first.

Change: a configuration of 32 KiB or more is read by a watch that the store answers at once, from the revision of the last read. After an error, if the revision is gone, or if the response has more than one and a half times the configuration (several versions), the whole is listed.

Open: a version near the size limit can still be later than 2 s on such links alone.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,20 +70,80 @@
 	}
 }
 
+// changeReader is implemented by stores that tell what was written after a revision without
+// waiting, as platform.Client does. The error is HistoryGone if a list is needed instead.
+type changeReader interface {
+	Changes(x context.Context, prefix, from string, bytesMax int64) (store.Listing, error)
+}
+
+const (
+	// configBytesLarge is the size of the configuration, in bytes, from which only its changes
+	// are read: the interval of the pollers would take all of a slow link for reading it again.
+	configBytesLarge = 32 << 10
+	// changesBytesShare bounds the changes that are read, as a multiple of that size: of several
+	// versions since the last read only the newest counts, and a list has no other.
+	changesBytesShare = 1.5
+)
+
 // readConfig reads the managed configuration from the platform once and applies
 // it.
 func (d *Daemon) readConfig(x context.Context) error {
 	var before change.Release
 	var sentIn uint64
-	_ = d.do(x, func(c *control) { before, sentIn = c.known.Head.InForce, c.storeEra })
+	var from string
+	var size int
+	_ = d.do(x, func(c *control) {
+		before, sentIn, from, size = c.known.Head.InForce, c.storeEra, c.configRevision, c.configBytes
+		c.configRevision = "" // a read that fails is followed by one of the whole
+	})
 	y, stop := hop.WithPace(x, configReadTimeout)
 	defer stop()
-	o, err := d.store.Get(y, d.edge.ConfigKey)
+	r := d.store.changes()
+	if r == nil || size < configBytesLarge {
+		o, err := d.store.Get(y, d.edge.ConfigKey)
+		if err != nil {
+			return err
+		}
+		_ = d.do(x, func(c *control) { c.doubtEra(o.Era, sentIn) })
+		return d.applyConfig(x, o, before)
+	}
+	var l store.Listing
+	var err error
+	if from != "" {
+		l, err = r.Changes(y, d.edge.ConfigKey, from, int64(changesBytesShare*float64(size)))
+	}
+	if from == "" || result.CodeOf(err) == result.HistoryGone {
+		from = ""
+		l, err = d.store.List(y, d.edge.ConfigKey) // has the revision to continue from
+	}
 	if err != nil {
 		return err
 	}
-	_ = d.do(x, func(c *control) { c.doubtEra(o.Era, sentIn) })
-	return d.applyConfig(x, o, before)
+	_ = d.do(x, func(c *control) { c.doubtEra(l.Era, sentIn) })
+	if err := d.applyConfigListing(x, l, before, from != ""); err != nil {
+		return err
+	}
+	return d.do(x, func(c *control) { c.configRevision = l.Revision })
+}
+
+// applyConfigListing applies the configuration object in l, as applyConfig does. With changes, l has
+// only what has changed.
+func (d *Daemon) applyConfigListing(x context.Context, l store.Listing, before change.Release, changes bool) error {
+	i := slices.IndexFunc(l.Objects, func(o store.Object) bool { return o.Key == d.edge.ConfigKey })
+	switch {
+	case i >= 0 && l.Objects[i].Fault != nil:
+		return l.Objects[i].Fault
+	case i >= 0:
+		return d.applyConfig(x, l.Objects[i], before)
+	case !changes:
+		return result.New(result.NotFound, "object %s does not exist", d.edge.ConfigKey)
+	}
+	late := false
+	_ = d.do(x, func(c *control) { late = !c.observeEra(l.Era) })
+	if late {
+		return errLate(d.edge.ConfigKey, l.Era)
+	}
+	return nil
 }
 
 // applyConfig decodes the configuration object o and merges it as the head. The
@@ -90,7 +151,10 @@
 // cannot be decoded or is of an older era; the known configuration then stays.
 func (d *Daemon) applyConfig(x context.Context, o store.Object, before change.Release) error {
 	known, late := false, false
-	_ = d.do(x, func(c *control) { known, late = o.Version == c.configVersion, !c.observeEra(o.Era) })
+	_ = d.do(x, func(c *control) {
+		known, late = o.Version == c.configVersion, !c.observeEra(o.Era)
+		c.configBytes = len(o.Value)
+	})
 	if late {
 		return errLate(o.Key, o.Era)
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -69,6 +69,8 @@
 	storeAnswered     bool                    // whether the store was read since the start
 	restoredEra       uint64                  // era in which the objects of the daemons were last checked, see restoreObjects
 	configVersion     string                  // version of the configuration object at the last read
+	configBytes       int                     // its size
+	configRevision    string                  // of the store, from which on its changes are to be read; empty if the whole is
 	noticedAt         time.Time               // of the last notice of the worker
 	noticedSent       int64                   // requests sent to the worker by then
 	leavingWorker     *upstream.Announcement  // last one of a worker that has stated in an answer that it is leaving; nil if none has
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -332,3 +332,17 @@
 	s.calls.Add(1)
 	return s.Store.Watch(x, prefix, revision, f)
 }
+
+// changes returns a reader of changes that counts its calls, nil if the store is none.
+func (s *countedStore) changes() changeReader {
+	if _, ok := s.Store.(changeReader); !ok {
+		return nil
+	}
+	return s
+}
+
+// Changes implements changeReader, for a store that does.
+func (s *countedStore) Changes(x context.Context, prefix, from string, bytesMax int64) (store.Listing, error) {
+	s.calls.Add(1)
+	return s.Store.(changeReader).Changes(x, prefix, from, bytesMax)
+}
--- a/daemon/slowlink_test.go
+++ b/daemon/slowlink_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"figwheel/change"
 	"figwheel/hop/hoptest"
 	"figwheel/peer"
 	"figwheel/peer/peerpb"
@@ -119,3 +121,72 @@
 		t.Errorf("%d of %d bytes", len(g.data), len(p.data))
 	}
 }
+
+// countingWriter counts the bytes of the bodies of answers.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+// Write implements http.ResponseWriter.
+func (w countingWriter) Write(b []byte) (int, error) {
+	w.bytes.Add(int64(len(b)))
+	return w.ResponseWriter.Write(b)
+}
+
+// TestLargeConfigurationIsReadOnce guards against pollers that take all of a slow link to read again a large configuration that has not changed, so that a change waits for that. It still has to be found at once, also when the store has forgotten the history that the daemons know, refuses them for a time or comes back from a copy.
+func TestLargeConfigurationIsReadOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		calm      = 4 * time.Second // some intervals of the pollers
+		instances = 3
+	)
+	var sent atomic.Int64
+	f := newPlatformFleet(t, instances, func(f *fleet) {
+		h := platformtest.Handler{Store: f.store}
+		v := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(countingWriter{w, &sent}, r)
+		}))
+		t.Cleanup(func() { v.CloseClientConnections(); v.Close() })
+		f.wrap = func(string) store.Store { return &platform.Client{Base: v.URL} }
+	})
+	n := uint64(1)
+	write := func() (bytes int64) {
+		t.Helper()
+		n++
+		r := []platformtest.Route{{PathPrefix: "/", Service: "s"}}
+		for i := range 1600 {
+			r = append(r, platformtest.Route{PathPrefix: fmt.Sprintf("/idle%04d-%d/", i, n), Service: "s"})
+		}
+		b, err := platformtest.Config(n, "h.example", r...)
+		if err == nil {
+			_, err = f.store.Overwrite(platform.ConfigKey, b)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		f.waitServing(n)
+		if d := time.Since(began); d > 2*time.Second {
+			t.Errorf("version %d: in force after %s", n, d)
+		}
+		return int64(len(b))
+	}
+	size := write()
+	time.Sleep(calm)
+	before := sent.Load()
+	time.Sleep(calm)
+	if got := sent.Load() - before; got > size/2 {
+		t.Errorf("%d bytes were read while nothing changed; the configuration has %d", got, size)
+	}
+	write()
+	f.store.SetFaults(platformtest.Faults{ForgottenBefore: 1000})
+	write()
+	f.store.SetFaults(platformtest.Faults{Refuses: true})
+	time.Sleep(2 * change.PollInterval)
+	f.store.SetFaults(platformtest.Faults{})
+	write()
+	f.store.SetEra(5)
+	f.store.Restore(time.Now())
+	write()
+}
--- a/hop/read.go
+++ b/hop/read.go
@@ -15,7 +15,8 @@
 	readPartBytes  = 64 << 10
 )
 
-var errLongBody = errors.New("response too large")
+// ErrLongBody is the error for a body that is longer than the limit of its reader.
+var ErrLongBody = errors.New("response too large")
 
 // ReadBody reads and closes the body of p. It returns an error if the body has more than
 // bytesMax, as soon as that is known. It reports what arrives to the request's context, see
@@ -23,7 +24,7 @@
 func ReadBody(p *http.Response, bytesMax int64) ([]byte, error) {
 	defer func() { _ = p.Body.Close() }()
 	if p.ContentLength > bytesMax {
-		return nil, errLongBody
+		return nil, ErrLongBody
 	}
 	var k *pace
 	if p.Request != nil {
@@ -52,5 +53,5 @@
 			return nil, err
 		}
 	}
-	return nil, errLongBody
+	return nil, ErrLongBody
 }
