--- a/daemon/origin_test.go
+++ b/daemon/origin_test.go
@@ -9,6 +9,7 @@
 	"figwheel/instance"
 	"figwheel/platform"
 	"figwheel/platform/platformtest"
+	"figwheel/site"
 	"figwheel/upstream"
 )
 
@@ -125,3 +126,47 @@
 		})
 	}
 }
+
+// TestOriginOfWorkerFoundByHealthCheck guards against a first check-in of another writer, with the id of a worker that has only answered a health check, that changes the service that requests name. A check-in with a service that the configuration has is the worker's own: the settings may be older.
+func TestOriginOfWorkerFoundByHealthCheck(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, service string
+		born          int64
+		want          string
+	}{
+		{"its own service", "s", 100, "s"},
+		{"another service", "t", 100, "t"},
+		{"another service, no start", "t", 0, "t"},
+		{"a service of no configuration", "unknown", 100, "s"},
+		{"a service of no configuration, no start", "unknown", 0, "s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			ask, asked := answers(t, answer{id: "w-1"})
+			f := newWorkerFleet(t, ask)
+			b, err := site.Table{Number: 1, Services: []site.Service{{Name: "s", HealthPath: "/health"}, {Name: "t", HealthPath: "/health"}}}.Encode()
+			if err == nil {
+				_, err = f.store.Put(t.Context(), "config/main", "", b)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.addDaemon()
+			f.waitAnswered(asked, 1)
+			a := upstream.Announcement{ID: "w-1", Service: c.service, Address: "127.0.0.1:1", State: instance.Ready.String(), Slots: 7, Sequence: 1, Born: c.born}
+			if err := f.daemons[0].takeAnnouncement(a, time.Now()); (err == nil) != (c.want == c.service) {
+				t.Errorf("the check-in: %v", err)
+			}
+			f.wait("the view is published", func() bool {
+				return f.ask(0, func(k *control) bool { return !k.viewOutdated })
+			})
+			if got := f.daemons[0].View().Origin; got != c.want {
+				t.Errorf("origin %q, want %q", got, c.want)
+			}
+			if s := f.ask(0, func(k *control) bool { return k.table.Self().State == instance.Ready }); !s {
+				t.Error("the worker is not in use")
+			}
+		})
+	}
+}
