--- a/event/event.go
+++ b/event/event.go
@@ -132,7 +132,7 @@
 	{RequestCleared, "RequestCleared", slog.LevelInfo, "A worker answered a request that was suspected of crashing workers."},
 	{WorkerFound, "WorkerFound", slog.LevelInfo, "The worker answered after the daemon's start, before its announcement."},
 	{WorkerSilent, "WorkerSilent", slog.LevelInfo, "The worker did not answer after the daemon's start; the daemon waits for its announcement."},
-	{AnnouncementDoubted, "AnnouncementDoubted", slog.LevelInfo, "An announcement of a start of the worker that is not known is held until the worker confirms it in a health check."},
+	{AnnouncementDoubted, "AnnouncementDoubted", slog.LevelInfo, "An announcement of a start of the worker that is not known, or has announced that it leaves, is held until the worker confirms it in a health check."},
 	{Panicked, "Panicked", slog.LevelError, "A task or the handling of a message panicked; the daemon continues without it."},
 	{WorkerNoticed, "WorkerNoticed", slog.LevelInfo, "The worker states another rate limit in its answers, or that it is leaving; Sent is the number of requests that it got in Period, since the notice before."},
 	{WorkerUnready, "WorkerUnready", slog.LevelInfo, "The worker answered a health check that it is not ready, or another start of it answered (Answered is its ID); the announcement held, if any, is dropped."},
