--- /dev/null
+++ b/review/standin-3/pipeline.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() {
+	cases["pipeline-stop"] = pipelineStop
+	cases["pipeline-cut"] = pipelineCut
+}
+
+// pipelinedRequest is a request that a client sends without waiting for the answers before.
+type pipelinedRequest struct {
+	method, uri, id string
+	sentAt          time.Time
+	answer          answer
+	endedAt         time.Time // when the answer came or the connection ended
+}
+
+// keptClient is a client that has got the answer to a first request on its connection.
+type keptClient struct {
+	m    *machine
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// connect opens a connection to the machine's daemon and serves one request on it.
+func (f *fleet) connect(m *machine, uri string) (*keptClient, error) {
+	c, err := net.Dial("tcp", m.outbound)
+	if err != nil {
+		return nil, err
+	}
+	k := &keptClient{m, c, bufio.NewReader(c)}
+	l := []*pipelinedRequest{{method: http.MethodGet, uri: uri, id: newID()}}
+	f.send(k, l)
+	f.receive(k, l)
+	if l[0].answer.Status != http.StatusOK {
+		return nil, fmt.Errorf("the first request on a connection ended with %d, %v", l[0].answer.Status, l[0].answer.Err)
+	}
+	return k, nil
+}
+
+const clientLimit = 4 * time.Second // the time limit of each request
+
+// send sends the requests of l at once.
+func (f *fleet) send(k *keptClient, l []*pipelinedRequest) {
+	var s strings.Builder
+	for _, q := range l {
+		f.rec.add("client of %s sends %s: %s %s", k.m.name, q.id, q.method, q.uri)
+		s.WriteString(head(q.method, q.uri, q.id, clientLimit))
+		if q.method != http.MethodGet {
+			s.WriteString("Content-Length: 0\r\n")
+		}
+		s.WriteString("\r\n")
+	}
+	_, _ = io.WriteString(k.conn, s.String())
+	for _, q := range l {
+		q.sentAt = time.Now()
+	}
+}
+
+// receive reads the answers to the requests of l.
+func (f *fleet) receive(k *keptClient, l []*pipelinedRequest) {
+	for _, q := range l {
+		q.answer = read(k.conn, k.in, q.method, clientLimit+time.Second)
+		q.endedAt = time.Now()
+		f.rec.add("client of %s gets for %s: status %d, error %v", k.m.name, q.id, q.answer.Status, q.answer.Err)
+	}
+}
+
+// pipelineStop stops a daemon by SIGTERM while clients send several requests at once on kept
+// connections, some just before the signal and some just after it. No request that was read
+// may end without an answer later than loss_slack_s after it was sent.
+func pipelineStop(f *fleet, trouble bool) (int, error) {
+	const (
+		clients   = 8 // before the signal, and as many after it
+		lossSlack = 200 * time.Millisecond
+	)
+	f.store.put("config", "main", configuration("r7", []route{
+		{"/lookup/", "desk", true, 2, 3, false},
+		{"/submit/", "desk", false, 2, 3, false},
+	}))
+	for _, z := range []string{"z1", "z2", "z3"} {
+		m, err := f.add(z, "desk")
+		if err != nil {
+			return cantRun, err
+		}
+		m.worker.work = func(r *http.Request) time.Duration {
+			if strings.HasPrefix(r.RequestURI, "/lookup/long/") {
+				return 600 * time.Millisecond
+			}
+			return 20 * time.Millisecond
+		}
+	}
+	if err := f.start(); err != nil {
+		return cantRun, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	m := f.machines[0]
+	var l []*keptClient
+	for i := range 2 * clients {
+		k, err := f.connect(m, fmt.Sprintf("/lookup/first/%d", i))
+		if err != nil {
+			return cantRun, err
+		}
+		l = append(l, k)
+	}
+	sent := make([][]*pipelinedRequest, 2*clients)
+	var g sync.WaitGroup
+	send := func(i int, method, prefix string) {
+		sent[i] = []*pipelinedRequest{{method: http.MethodGet, uri: fmt.Sprintf("/lookup/long/%d", i), id: newID()}}
+		for j := range 2 {
+			sent[i] = append(sent[i], &pipelinedRequest{method: method, uri: fmt.Sprintf("%s%d/%d", prefix, i, j), id: newID()})
+		}
+		f.send(l[i], sent[i])
+		g.Go(func() { f.receive(l[i], sent[i]) })
+	}
+	for i := range clients {
+		send(i, http.MethodPost, "/submit/")
+	}
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		m.signal(syscall.SIGTERM)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := clients; i < 2*clients; i++ {
+		send(i, http.MethodGet, "/lookup/short/")
+	}
+	g.Wait()
+	lost := 0
+	for i, s := range sent {
+		when := "before"
+		if i >= clients {
+			when = "after"
+		}
+		for _, q := range s {
+			if q.answer.Status == 0 && q.endedAt.Sub(q.sentAt) > lossSlack {
+				lost++
+				f.rec.say("%s %s (%s), sent %s the signal: its connection ended without an answer %.3f s after it was sent, by %v; it ran %d times",
+					q.method, q.uri, q.id, when, q.endedAt.Sub(q.sentAt).Seconds(), q.answer.Err, len(f.runs.of(q.id)))
+			}
+		}
+	}
+	f.rec.say("LOST: %d of %d requests ended without an answer", lost, 2*clients*3)
+	if lost > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// pipelineCut lets the worker of a large answer break it off, while further requests of the
+// same kept connection have been passed on to sound workers of another service. At most
+// three of those may end without an answer.
+func pipelineCut(f *fleet, trouble bool) (int, error) {
+	const (
+		behind     = 6 // requests of a connection behind the large answer
+		lostMax    = 3
+		answerSize = 200 << 10
+	)
+	f.store.put("config", "main", configuration("r7", []route{
+		{"/episode/", "archive", true, 2, 3, false},
+		{"/lookup/", "desk", true, 2, 3, false},
+	}))
+	for _, s := range []string{"desk", "desk", "archive"} {
+		m, err := f.add(fmt.Sprintf("z%d", len(f.machines)+1), s)
+		if err != nil {
+			return cantRun, err
+		}
+		m.worker.work = func(*http.Request) time.Duration { return 50 * time.Millisecond }
+		if s != "archive" {
+			continue
+		}
+		m.worker.work = func(*http.Request) time.Duration { return 300 * time.Millisecond }
+		m.worker.answer = func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			w.Header().Set("Content-Length", fmt.Sprint(answerSize))
+			part := []byte(strings.Repeat("x", answerSize/2))
+			_, _ = w.Write(part)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+			if trouble {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write(part)
+		}
+	}
+	if err := f.start(); err != nil {
+		return cantRun, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	k, err := f.connect(f.machines[0], "/lookup/first")
+	if err != nil {
+		return cantRun, err
+	}
+	l := []*pipelinedRequest{{method: http.MethodGet, uri: "/episode/1", id: newID()}}
+	for i := range behind {
+		l = append(l, &pipelinedRequest{method: http.MethodGet, uri: fmt.Sprintf("/lookup/%d", i), id: newID()})
+	}
+	f.send(k, l)
+	f.receive(k, l)
+	lost := 0
+	for _, q := range l[1:] {
+		if n := len(f.runs.of(q.id)); q.answer.Status == 0 && n > 0 {
+			lost++
+			f.rec.say("GET %s (%s): a sound worker ran it, and its connection ended without an answer", q.uri, q.id)
+		}
+	}
+	f.rec.say("LOST: %d requests were passed on to sound workers and their connection closed without an answer; %d are allowed", lost, lostMax)
+	if lost > lostMax {
+		return broken, nil
+	}
+	return held, nil
+}
