review: pipelined requests with large answers block each other's slots

Case 12: a request that is served ahead keeps its slot while its answer waits for the answers before it, and those wait for a slot.

--- a/review/standin-3/pipeline.go
+++ b/review/standin-3/pipeline.go
@@ -13,6 +13,7 @@
 )
 
 func init() {
+	cases["pipeline-hang"] = pipelineHang
 	cases["pipeline-stop"] = pipelineStop
 	cases["pipeline-cut"] = pipelineCut
 }
@@ -76,6 +77,84 @@
 	}
 }
 
+// pipelineHang lets clients come at once, each of which sends several requests with large
+// answers on a kept connection. At most three requests that were passed on to workers, all of
+// them sound, may end without an answer.
+func pipelineHang(f *fleet, trouble bool) (int, error) {
+	const (
+		clients    = 24 // as many at each machine
+		requests   = 8  // of each client at once, as PipelineDepth in deploy/settings.yaml
+		waves      = 6
+		answerSize = 400_000
+		lostMax    = 3
+	)
+	f.store.put("config", "main", configuration("r7", []route{{"/scan/", "scans", true, 2, 3, false}}))
+	for _, z := range []string{"z1", "z2", "z3"} {
+		m, err := f.add(z, "scans")
+		if err != nil {
+			return cantRun, err
+		}
+		m.worker.work = func(*http.Request) time.Duration { return 40 * time.Millisecond }
+		m.worker.answer = func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			w.Header().Set("Content-Length", fmt.Sprint(answerSize))
+			_, _ = io.WriteString(w, strings.Repeat("x", answerSize))
+		}
+	}
+	if err := f.start(); err != nil {
+		return cantRun, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	lost, refused, served := 0, 0, 0
+	for wave := range waves {
+		var l []*keptClient
+		sent := make([][]*pipelinedRequest, clients)
+		for i := range clients {
+			k, err := f.connect(f.machines[i%len(f.machines)], fmt.Sprintf("/scan/first/%d/%d", wave, i))
+			if err != nil {
+				return cantRun, err
+			}
+			l = append(l, k)
+			for j := range requests {
+				sent[i] = append(sent[i], &pipelinedRequest{method: http.MethodGet, uri: fmt.Sprintf("/scan/%d/%d/%d", wave, i, j), id: newID()})
+			}
+		}
+		began := time.Now()
+		var g sync.WaitGroup
+		for i, k := range l {
+			f.send(k, sent[i])
+			g.Go(func() { f.receive(k, sent[i]) })
+			if !trouble {
+				g.Wait() // the clients come one after the other
+			}
+		}
+		g.Wait()
+		f.rec.say("wave %d took %.3f s", wave+1, time.Since(began).Seconds())
+		for i, k := range l {
+			_ = k.conn.Close()
+			for _, q := range sent[i] {
+				n := len(f.runs.of(q.id))
+				switch {
+				case q.answer.Status == http.StatusOK:
+					served++
+				case q.answer.Status != 0:
+					refused++
+				case n > 0:
+					lost++
+					f.rec.add("GET %s (%s): a worker ran it, and its connection ended without an answer %.3f s after it was sent, by %v",
+						q.uri, q.id, q.endedAt.Sub(q.sentAt).Seconds(), q.answer.Err)
+				}
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	f.rec.say("LOST: of %d requests, %d were answered, %d refused, and %d were passed on to workers and their connections closed without an answer; %d are allowed",
+		waves*clients*requests, served, refused, lost, lostMax)
+	if lost > lostMax {
+		return broken, nil
+	}
+	return held, nil
+}
+
 // pipelineStop stops a daemon by SIGTERM while clients send several requests at once on kept
 // connections, some just before the signal and some just after it. No request that was read
 // may end without an answer later than loss_slack_s after it was sent.
