--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -7,6 +7,7 @@
 	attempts        int
 	timeout         float64
 	public          bool
+	kind            string // route_kind, by repeats if empty
 }
 
 // tenant is a tenant of a configuration.
@@ -23,8 +24,12 @@
 	rules, services := []any{}, []any{}
 	seen := make(map[string]bool)
 	for _, r := range routes {
+		kind := r.kind
+		if kind == "" {
+			kind = kinds[r.repeats]
+		}
 		rules = append(rules, map[string]any{
-			"name": "r-" + r.service + "-" + kinds[r.repeats] + r.prefix, "route_kind": kinds[r.repeats], "goal_s": 0.5, "priority": 1, "public": r.public,
+			"name": "r-" + r.service + "-" + kind + r.prefix, "route_kind": kind, "goal_s": 0.5, "priority": 1, "public": r.public,
 			"match":        map[string]any{"path_prefix": r.prefix},
 			"route_action": map[string]any{"service": r.service, "timeout_s": r.timeout, "max_attempts": r.attempts},
 		})
--- a/review/standin-3/machine.go
+++ b/review/standin-3/machine.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -106,6 +107,7 @@
 	machines []*machine
 	runs     *runs
 	rec      *record
+	ending   sync.Once
 }
 
 // newFleet starts the store. The caller adds machines.
@@ -169,7 +171,9 @@
 }
 
 // end ends all that was started and removes the folder.
-func (f *fleet) end() {
+func (f *fleet) end() { f.ending.Do(f.endAll) }
+
+func (f *fleet) endAll() {
 	for _, m := range f.machines {
 		if m.cmd != nil {
 			_ = m.cmd.Process.Kill()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -4,8 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the longest time that a case takes.
+const longest = 112 * time.Second
+
 // The results of a case.
 const (
 	held    = 0
@@ -38,6 +44,19 @@
 		return cantRun
 	}
 	defer f.end()
+	go func() {
+		c := make(chan os.Signal, 1)
+		signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		select {
+		case s := <-c:
+			r.say("the case cannot run: it got %v", s)
+		case <-time.After(longest):
+			r.say("the case cannot run: it takes over %v", longest)
+		}
+		f.end()
+		r.close()
+		os.Exit(cantRun)
+	}()
 	n, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		r.say("the case cannot run: %v", err)
--- a/review/standin-3/replay.go
+++ b/review/standin-3/replay.go
@@ -19,7 +19,7 @@
 		requests = 200 // of each client, one after the other
 		lostOf   = 34  // at half of the workers, one in so many runs loses its answer
 	)
-	f.store.put("config", "main", configuration("r7", []route{{"/fee/", "ledger", false, 3, 3, false}}))
+	f.store.put("config", "main", configuration("r7", []route{{prefix: "/fee/", service: "ledger", attempts: 3, timeout: 3}}))
 	var losses, count atomic.Int64
 	for i, z := range []string{"z1", "z2", "z3", "z1"} {
 		m, err := f.add(z, "ledger")
