hop: write a request to one connection at most in each round trip

Cause: net/http resends GET, HEAD, OPTIONS and TRACE by itself, and any request without a body that has an Idempotency-Key or X-Idempotency-Key, when a reused connection breaks. The guard blocked the second connection if the request had been written to the first. When that was idle too, nothing was written to it, and net/http took a third. The guard compared that one with the second only and let it pass.

Ruled out: the attempts of the caller package (package hop alone shows it, which knows no routes) and the loop of Hop.Do over stale connections (it doesn't look at methods, and only the requests above ran twice).

Change: connTrace ends the round trip when the transport asks for another connection after it has written to one. That comes before any further write and is remembered, so that the number of connections no longer matters, nor which requests net/http takes for repeatable.

--- a/caller/edge_test.go
+++ b/caller/edge_test.go
@@ -57,6 +57,7 @@
 			{Name: "twice", Host: "h.example", PathPrefix: "/twice/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 300 * time.Millisecond, Attempts: 2},
 			{Name: "once", Host: "h.example", PathPrefix: "/once/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatForbidden, Timeout: 300 * time.Millisecond, Attempts: 2},
 			{Name: "alone", Host: "h.example", PathPrefix: "/alone/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatForbidden, Timeout: 30 * time.Second, Attempts: 2},
+			{Name: "patient", Host: "h.example", PathPrefix: "/patient/", Targets: []site.Split{{Service: "s", Weight: 1}}, Repeat: site.RepeatAllowed, Timeout: 30 * time.Second, Attempts: 2},
 		},
 	}
 	s, err := c.Snapshot("a", 7, "c")
--- a/hop/conn.go
+++ b/hop/conn.go
@@ -141,41 +141,57 @@
 	return c.writes
 }
 
-// connTrace tracks the connections on which the transport sends one request.
+// errResend ends a round trip whose request the transport wants to write a second time.
+var errResend = errors.New("the connection broke after the request was written to it")
+
+// connTrace tracks the connections on which the transport sends one request. It lets
+// the transport write the request to one of them at most.
 type connTrace struct {
-	conn         *conn  // the last connection that the request got
-	writesBefore uint64 // writes on conn before the request
-	reused       bool   // whether the last connection has carried another request before
-	untracked    bool   // whether the request got a connection that is not a *conn
-	resent       bool   // whether net/http wanted to resend the request after a write
-	requestID    string // see contract.Headers; empty if the request has none
-	refusedConns int    // connections that were avoided, see mustAvoid
-	passedOver   bool   // whether the last connection takes no further request, or not this one
-	repeated     bool   // whether the id was among conn.refusals before
-	refused      bool   // whether a refusal that names the id was proved to be of the request
-	interimBytes int    // of the heads of interim responses
-}
-
-// withTrace returns x with a trace that calls gotConn and gotInterim.
+	cancel       context.CancelCauseFunc // of the context of the request
+	conn         *conn                   // the last connection that the request got
+	writesBefore uint64                  // writes on conn before the request
+	reused       bool                    // whether the last connection has carried another request before
+	untracked    bool                    // whether the request got a connection that is not a *conn
+	resent       bool                    // whether net/http wanted to resend the request after a write
+	requestID    string                  // see contract.Headers; empty if the request has none
+	refusedConns int                     // connections that were avoided, see mustAvoid
+	passedOver   bool                    // whether the last connection takes no further request, or not this one
+	repeated     bool                    // whether the id was among conn.refusals before
+	refused      bool                    // whether a refusal that names the id was proved to be of the request
+	interimBytes int                     // of the heads of interim responses
+}
+
+// withTrace returns x with a trace that calls getConn, gotConn and gotInterim. It sets
+// s.cancel, which is to be called when the response has been read.
 func (s *connTrace) withTrace(x context.Context) context.Context {
-	return httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: s.gotConn, Got1xxResponse: s.gotInterim})
+	x, s.cancel = context.WithCancelCause(x)
+	return httptrace.WithClientTrace(x, &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn, Got1xxResponse: s.gotInterim})
 }
 
-// gotConn records the connection that the request got. When a connection breaks,
-// net/http resends many requests by itself. Whether a resend is safe and within the
-// retry budget is decided elsewhere, so writes on the second connection are blocked
-// if the request was written to the first.
+// getConn ends the round trip if the transport asks for another connection after it
+// wrote to the last one. When a reused connection breaks, net/http resends requests by
+// itself, chosen by their methods and headers. Whether a resend is safe and within the
+// retry budget is decided elsewhere. A request of which nothing was written goes on.
+func (s *connTrace) getConn(string) {
+	if !s.unsent() {
+		s.resent = true
+		s.cancel(errResend)
+	}
+}
+
+// gotConn records the connection that the request got.
 func (s *connTrace) gotConn(i httptrace.GotConnInfo) {
+	if s.resent {
+		// An idle connection may be handed out although the round trip has ended.
+		_ = i.Conn.Close()
+		return
+	}
 	s.reused = i.Reused
 	c, ok := i.Conn.(*conn)
 	if !ok {
 		s.untracked = true
 		return
 	}
-	if s.conn != nil && s.conn.blockWrites() != s.writesBefore {
-		s.resent = true
-		c.blockWrites()
-	}
 	s.conn = c
 	s.writesBefore = c.writeCount()
 	s.passedOver = c.retired.Load() || s.mustAvoid(c)
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -126,6 +126,7 @@
 		s.requestID = r.Header.Get(n)
 	}
 	q := h.request(s.withTrace(x), r, d, b.length)
+	defer s.cancel(nil)
 	if h.Daemon && b.isLarge() {
 		q.Header["Expect"] = []string{"100-continue"}
 		if cancel := h.CancelIfLeft; cancel != nil {
