--- a/hop/resend_test.go
+++ b/hop/resend_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,8 +88,8 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		id := q.Header.Get("Figwheel-Attempt-Id")
-		k.begin(id)
+		k.begin(q.Header.Get("Id"))
+		id, exchange := q.Header.Get("Figwheel-Attempt-Id"), q.Header.Get(contract.ExchangeHeader)
 		switch q.URL.Path {
 		case "/lost":
 			k.lose(c.(*net.TCPConn))
@@ -97,9 +98,9 @@
 			<-k.arrive()
 		case "/wrong":
 			<-k.arrive()
-			id = "other"
+			id, exchange = "other", "other"
 		}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\nContent-Length: 0\r\n\r\n", id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFigwheel-Attempt-Id: %s\r\nFigwheel-Server-Seal: s\r\nFigwheel-Exchange: %s\r\nContent-Length: 0\r\n\r\n", id, exchange)
 	}
 }
 
@@ -161,6 +162,7 @@
 	t.Helper()
 	r := httptest.NewRequest(q.method, "http://h.example"+path, strings.NewReader(q.body))
 	r.Header.Set("Figwheel-Attempt-Id", id)
+	r.Header.Set("Id", id) // reaches the worker on either interface
 	if q.key != "" {
 		r.Header.Set(q.key, "k")
 	}
@@ -175,6 +177,18 @@
 	return h.Do(x, w, r, b)
 }
 
+// hops returns a hop to each kind of destination at the address.
+func hops(tr http.RoundTripper, address string) map[string]hop.Hop {
+	var echoes atomic.Bool
+	echoes.Store(true) // connections are kept
+	return map[string]hop.Hop{
+		"worker":                      {Transport: tr, Address: address, Headers: platform.Headers(), HoldBack: true},
+		"daemon":                      {Transport: tr, Address: address, Headers: platform.Headers(), Daemon: true},
+		"worker on the own interface": {Transport: tr, Address: address, Headers: contract.OwnHeaders(), Exchange: "e", Echoes: &echoes},
+		"daemon on the own interface": {Transport: tr, Address: address, Headers: contract.OwnHeaders(), Daemon: true},
+	}
+}
+
 // pools are the idle connections to an address that a request finds. Those that are retired
 // come first.
 var pools = []struct{ idle, retired int }{{0, 0}, {1, 0}, {2, 0}, {4, 0}, {0, 2}, {4, 3}}
@@ -189,9 +203,12 @@
 		"interim first": func(c *net.TCPConn) { _, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n") },
 		"silent":        nil,
 	} {
-		for _, daemon := range []bool{false, true} {
+		for to := range hops(nil, "") {
 			for _, p := range pools {
-				t.Run(fmt.Sprintf("%s, daemon %t, %d idle, %d retired", name, daemon, p.idle, p.retired), func(t *testing.T) {
+				if p.retired > 0 && to == "daemon on the own interface" {
+					continue // its answers name no request, so that none of them is another's
+				}
+				t.Run(fmt.Sprintf("%s, %s, %d idle, %d retired", name, to, p.idle, p.retired), func(t *testing.T) {
 					t.Parallel()
 					k := &losingWorker{lose: lose, runs: make(map[string]int)}
 					lost := make(chan struct{}, 100) // with room for each run
@@ -205,7 +222,7 @@
 					defer stop()
 					tr := hop.NewTransport(0, time.Second, time.Minute)
 					defer tr.CloseIdleConnections()
-					h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), Daemon: daemon, HoldBack: true}
+					h := hops(tr, a)[to]
 					for i, q := range resendables() {
 						if p.idle == 0 {
 							tr.CloseIdleConnections()
@@ -239,16 +256,16 @@
 // TestUnsentRequestTakesNextConnection guards against a request that fails, although nothing of
 // it was written, because it may be written once only.
 func TestUnsentRequestTakesNextConnection(t *testing.T) {
-	for _, daemon := range []bool{false, true} {
+	for _, to := range []string{"worker", "daemon", "worker on the own interface"} {
 		for _, p := range []struct{ idle, retired int }{{0, 1}, {3, 1}, {0, 3}, {3, 3}, {0, 20}, {3, 20}} {
-			t.Run(fmt.Sprintf("daemon %t, %d idle, %d retired", daemon, p.idle, p.retired), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, %d idle, %d retired", to, p.idle, p.retired), func(t *testing.T) {
 				t.Parallel()
 				k := &losingWorker{runs: make(map[string]int)}
 				a, stop := listen(t, k.serve)
 				defer stop()
 				tr := hop.NewTransport(0, time.Second, time.Minute)
 				defer tr.CloseIdleConnections()
-				h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), Daemon: daemon, HoldBack: true}
+				h := hops(tr, a)[to]
 				for i, q := range resendables() {
 					if p.idle == 0 {
 						tr.CloseIdleConnections()
@@ -277,7 +294,7 @@
 	defer stop()
 	tr := hop.NewTransport(0, time.Second, time.Minute)
 	defer tr.CloseIdleConnections()
-	h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), HoldBack: true}
+	h := hops(tr, a)["worker"]
 	for i, q := range resendables() {
 		k.fill(t, h, idle, false)
 		before := k.connections()
@@ -299,7 +316,7 @@
 	defer stop()
 	tr := &http.Transport{MaxIdleConnsPerHost: 4}
 	defer tr.CloseIdleConnections()
-	h := hop.Hop{Transport: tr, Address: a, Headers: platform.Headers(), HoldBack: true}
+	h := hops(tr, a)["worker"]
 	for i, q := range resendables() {
 		k.fill(t, h, 4, false)
 		id := fmt.Sprintf("id-%d", i)
