soak: lose answers, and send non-idempotent requests that net/http resends

Its non-idempotent requests were POSTs with a body, which net/http never resends, and its workers lost answers only when they crashed.

The steps of the other kinds of a seed stay what they were, and so do the times without a fault in which planned work and due versions are checked: a lost answer ends no caller's connection.

--- a/soak/check.go
+++ b/soak/check.go
@@ -127,6 +127,7 @@
 type request struct {
 	id            string
 	nonIdempotent bool
+	form          form // if it is not idempotent
 	sentAt        time.Time
 	daemon        string
 	starts        int    // number of starts of the daemon when the request was sent
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -11,8 +11,8 @@
 // Kind is a kind of fault or of planned work.
 type Kind string
 
-// The kinds. Term, Hup, Config and KeyChange are planned work, and WorkerLimit and Flood
-// interrupt no request; the others are faults. A daemon whose process has ended is started again.
+// The kinds. Term, Hup, Config and KeyChange are planned work, and WorkerLimit, WorkerLoses and
+// Flood interrupt no caller's connection; the others are faults. A daemon whose process has ended is started again.
 const (
 	Kill           Kind = "kill"             // SIGKILL to one daemon
 	Herd           Kind = "herd"             // SIGKILL to all daemons at once
@@ -28,6 +28,7 @@
 	LinkReset      Kind = "link-reset"       // connections between one daemon and the store are reset
 	WorkerCrash    Kind = "worker-crash"     // the worker beside one daemon crashes and is started again
 	WorkerLimit    Kind = "worker-limit"     // the worker beside one daemon states a rate limit
+	WorkerLoses    Kind = "worker-loses"     // the worker beside one daemon runs requests and loses the answers to some of them
 	WorkerLeave    Kind = "worker-leave"     // that worker states that it is leaving, and is started again after a while
 	Term           Kind = "term"             // SIGTERM to one daemon
 	Hup            Kind = "hup"              // SIGHUP to one daemon
@@ -36,9 +37,9 @@
 	KeyChange      Kind = "key-change"       // operators write the next version, in which a new key replaces one
 )
 
-// kinds lists each kind with its relative frequency in a plan, but for StoreCopy, Flood
-// and KeyChange, whose steps are drawn apart from the others, so that those of a seed
-// stay what they were.
+// kinds lists each kind with its relative frequency in a plan, but for StoreCopy, Flood,
+// KeyChange and WorkerLoses, whose steps are drawn apart from the others, so that those of
+// a seed stay what they were.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -62,11 +63,11 @@
 	{Config, 6},
 }
 
-// IsPlanned reports whether the kind is planned work, a rate limit or load, which must
-// not interrupt any request.
+// IsPlanned reports whether the kind is planned work, a rate limit, load or lost answers of a
+// worker, which must not interrupt any caller's connection.
 func (k Kind) IsPlanned() bool {
 	switch k {
-	case Term, Hup, Config, KeyChange, WorkerLimit, Flood:
+	case Term, Hup, Config, KeyChange, WorkerLimit, WorkerLoses, Flood:
 		return true
 	}
 	return false
@@ -91,6 +92,7 @@
 	copyGapMin, copyGapMax       = 2 * time.Second, 20 * time.Second // between two steps of the kind StoreCopy
 	accountGapMin, accountGapMax = 1 * time.Second, 5 * time.Second  // between two of the kinds Flood and KeyChange
 	floodMin, floodMax           = 2 * time.Second, 5 * time.Second
+	lossGapMin, lossGapMax       = 1 * time.Second, 5 * time.Second // between two of the kind WorkerLoses
 )
 
 // Plan returns the steps of a seed in the order in which they start, all of
@@ -127,6 +129,10 @@
 		}
 		l = append(l, s)
 	}
+	r = rand.New(rand.NewPCG(seed, 4))
+	for t := between(lossGapMin, lossGapMax); t < length; t += between(lossGapMin, lossGapMax) {
+		l = append(l, Step{At: t, For: between(stepLengthMin, stepLengthMax), Kind: WorkerLoses, Target: r.IntN(daemons)})
+	}
 	slices.SortStableFunc(l, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return l
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -145,6 +145,10 @@
 		if f := n.crashWorker.Load(); f != nil {
 			(*f)()
 		}
+	case WorkerLoses:
+		n.worker.LoseAnswers(true)
+		wait(x, s.For)
+		n.worker.LoseAnswers(false)
 	case WorkerLimit:
 		n.worker.SetRateLimit(statedLimit)
 		wait(x, s.For+limitExtraTime)
@@ -195,7 +199,9 @@
 // newRequest returns the next request of k. Pipelined requests are idempotent.
 func (e *environment) newRequest(r *rand.Rand, k caller, now time.Time) request {
 	n := k.node
-	s := request{id: fmt.Sprintf("q-%d", e.ids.Add(1)), nonIdempotent: r.IntN(2) == 0 && k.pipelined == 0, sentAt: now, daemon: n.name}
+	number := e.ids.Add(1)
+	s := request{id: fmt.Sprintf("q-%d", number), nonIdempotent: r.IntN(2) == 0 && k.pipelined == 0, sentAt: now, daemon: n.name}
+	s.form = forms[number%int64(len(forms))]
 	s.starts, s.versionSeen = n.state()
 	if e.checker.isFaultFree(now) {
 		s.versionDue = e.checker.versionDue(now)
@@ -217,10 +223,29 @@
 	}
 }
 
+// form is the form of a non-idempotent request.
+type form struct {
+	method   string
+	key      string // name of a header that is set, empty for none
+	bodyless bool
+}
+
+// forms are the forms of non-idempotent requests: one with a body, and those that net/http
+// takes for repeatable.
+var forms = []form{
+	{method: http.MethodPost},
+	{method: http.MethodGet, bodyless: true},
+	{method: http.MethodPost, key: "Idempotency-Key", bodyless: true},
+	{method: http.MethodDelete, key: "X-Idempotency-Key", bodyless: true},
+}
+
 // content returns the method, path and body of a request.
 func (s request) content() (method, path, body string) {
 	if s.nonIdempotent {
-		return http.MethodPost, "/once/" + s.id, "body of " + s.id
+		if !s.form.bodyless {
+			body = "body of " + s.id
+		}
+		return s.form.method, "/once/" + s.id, body
 	}
 	return http.MethodGet, "/twice/" + s.id, ""
 }
@@ -233,14 +258,32 @@
 	x, stop := context.WithTimeout(context.Background(), 2*callTimeout)
 	defer stop()
 	var written atomic.Bool
-	x = httptrace.WithClientTrace(x, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }})
-	q, err := platformtest.NewRequest(x, method, n.callAddress, host, path, s.id, callTimeout, body)
+	t := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }}
+	y, cancel := context.WithCancel(x)
+	defer cancel()
+	if s.nonIdempotent {
+		// Otherwise net/http sends the request again on another connection.
+		t.GetConn = func(string) {
+			if written.Load() {
+				cancel()
+			}
+		}
+		t.GotConn = func(i httptrace.GotConnInfo) {
+			if y.Err() != nil {
+				_ = i.Conn.Close()
+			}
+		}
+	}
+	q, err := platformtest.NewRequest(httptrace.WithClientTrace(y, t), method, n.callAddress, host, path, s.id, callTimeout, body)
 	if err != nil {
 		return answer{}
 	}
 	platformtest.SetKey(q, s.key)
 	if s.nonIdempotent {
-		q.GetBody = nil // keeps net/http from sending the request again
+		q.GetBody = nil // as above
+		if s.form.key != "" {
+			q.Header.Set(s.form.key, s.id)
+		}
 	}
 	p, err := c.Do(q)
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,7 +62,7 @@
 		last = s.At
 		seen[s.Kind] = true
 	}
-	for _, k := range []soak.Kind{soak.WorkerLimit, soak.WorkerLeave, soak.Kill, soak.Herd, soak.Pause, soak.StoreDown, soak.StoreCopy, soak.LinkSilentTo, soak.LinkReset, soak.WorkerCrash, soak.Term, soak.Config, soak.Flood, soak.KeyChange} {
+	for _, k := range []soak.Kind{soak.WorkerLimit, soak.WorkerLeave, soak.Kill, soak.Herd, soak.Pause, soak.StoreDown, soak.StoreCopy, soak.LinkSilentTo, soak.LinkReset, soak.WorkerCrash, soak.WorkerLoses, soak.Term, soak.Config, soak.Flood, soak.KeyChange} {
 		if !seen[k] {
 			t.Errorf("no step of kind %s", k)
 		}
