--- a/hop/resend_test.go
+++ b/hop/resend_test.go
@@ -289,25 +289,30 @@
 }
 
 // TestLostAnswerKeepsIdleConnections guards against a lost answer that costs all idle
-// connections to the address, on which the transport tries to resend the request in turn.
+// connections to the address, on which the transport tries to resend the request in turn, or one
+// of a limited number of connections for good.
 func TestLostAnswerKeepsIdleConnections(t *testing.T) {
 	const idle = 20
-	k := &losingWorker{lose: func(*net.TCPConn) {}, runs: make(map[string]int)}
-	a, stop := listen(t, k.serve)
-	defer stop()
-	tr := hop.NewTransport(0, dialTimeout, time.Minute)
-	defer tr.CloseIdleConnections()
-	h := hops(tr, a)["worker"]
-	for i, q := range resendables() {
-		k.fill(t, h, idle, false)
-		before := k.connections()
-		q.send(t.Context(), t, h, fmt.Sprintf("id-%d", i), "/lost")
-		k.fill(t, h, idle, false)
-		// One connection is lost with the answer, and another may be closed when the
-		// transport has taken it for the resend.
-		if n := k.connections() - before; n > 2 {
-			t.Errorf("%v: %d new connections after its answer was lost, want 2 at most", q, n)
-		}
+	for name, connectionsMax := range map[string]int{"any number": 0, "limited": idle} {
+		t.Run(name, func(t *testing.T) {
+			k := &losingWorker{lose: func(*net.TCPConn) {}, runs: make(map[string]int)}
+			a, stop := listen(t, k.serve)
+			defer stop()
+			tr := hop.NewTransport(connectionsMax, dialTimeout, time.Minute)
+			defer tr.CloseIdleConnections()
+			h := hops(tr, a)["worker"]
+			for i, q := range resendables() {
+				k.fill(t, h, idle, false)
+				before := k.connections()
+				q.send(t.Context(), t, h, fmt.Sprintf("id-%d", i), "/lost")
+				k.fill(t, h, idle, false)
+				// One connection is lost with the answer, and another may be closed when the
+				// transport has taken it for the resend.
+				if n := k.connections() - before; n > 2 {
+					t.Errorf("%v: %d new connections after its answer was lost, want 2 at most", q, n)
+				}
+			}
+		})
 	}
 }
 
